--- /dev/null
+++ b/src/main/java/trestleline/Decide.java
@@ -0,0 +1,839 @@
+package trestleline;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+
+/**
+ * The decisions of one front (gateway): FluSS by Reumann and Shin, see docs/design.md. The interface is
+ * {@link Front} (Front.java). One instance a gateway; no I/O, clock, statics or threads: what it does follows
+ * from its events and seed alone. Read in this order: event dispatch; membership, drain and cold pacing; the
+ * account of server and rack room; server pick; admission; degrade; re-pack; attempts and deadlines; health.
+ */
+public final class Decide {
+    /** Share of a pipe that is packed: true rates stray from the ladder, and short delivery costs most. */
+    private static final double AIM = 0.90;
+    /** How much more than an even part of a link one front may pack; the rack's part still bounds the sum. */
+    private static final double LUMP = 1.3;
+    /** After a short-share note own use is cut to this part of what was delivered. */
+    private static final double CUT = 0.97;
+    /** Regained budget a second after shortage, as a part of the even share (the additive part of AIMD). */
+    private static final double REGAIN = 0.04;
+    /** Re-pack period (ms): the document's, a few adaptation operations. */
+    private static final double PERIOD = 2000;
+    /** Gains of a switch are counted over at most this time (ms): the packing rarely stands longer. */
+    private static final double HORIZON = 10000;
+    /** Steps in which a rack's budget is packed. */
+    private static final int UNITS = 400;
+    /** A freed share is kept for its class for this long (ms). */
+    private static final double HOLD = 500;
+    /** Part of the aim after which an unanswered set-up casts suspicion, and a safe one is tried elsewhere. */
+    private static final double PATIENCE = 0.45;
+    /** Trust left after a failed set-up, and the part of the missing trust a success restores. */
+    private static final double DISTRUST = 0.5, RETRUST = 0.3;
+
+    /** A link or a rack's uplink, as this front accounts for it (kB a second). */
+    private static final class Pipe {
+        double cap, fair, budget, own, shortAt = Double.NEGATIVE_INFINITY;
+        boolean noted;
+        final ArrayDeque<double[]> past = new ArrayDeque<>();
+
+        double room() {
+            return budget - own;
+        }
+    }
+
+    private static final class Server {
+        final String id;
+        final Pipe link = new Pipe();
+        final Map<Long, Session> held = new LinkedHashMap<>();
+        Front.Entry entry;
+        boolean running;
+        double since, backAt = Double.NEGATIVE_INFINITY, lastPaced = Double.NEGATIVE_INFINITY;
+        double suspectUntil = Double.NEGATIVE_INFINITY, trust = 1, shortAt = Double.NEGATIVE_INFINITY, lastShare = 1;
+        int strikes;
+        boolean lost;
+
+        Server(String id) {
+            this.id = id;
+        }
+    }
+
+    private static final class Session {
+        final Front.Ask ask;
+        final int cls;
+        final double deadline, weight;
+        final List<Server> tried = new ArrayList<>();
+        Server at;
+        int rung, shot = -1;
+        boolean playing, out, mayHaveRun;
+        double startedAt, sentAt, ranAt;
+        Server ranOn;
+
+        Session(Front.Ask ask, int cls, double now, double weight) {
+            this.ask = ask;
+            this.cls = cls;
+            this.weight = weight;
+            this.deadline = now + ask.ttl();
+        }
+    }
+
+    /** A share on the free-list: what a session that just ended leaves to a newcomer of its class. */
+    private record Freed(int cls, Server at, int rung, double rate, double until) { }
+
+    private final Front.Settings set;
+    private final SplittableRandom random;
+    private final double born;
+    private final Map<String, Server> servers = new TreeMap<>();
+    private final Map<Long, Session> sessions = new LinkedHashMap<>();
+    private final Pipe[] racks;
+    private final double[] cellLink;
+    private final List<Freed> freeList = new ArrayList<>();
+    private final ArrayDeque<Double> taken = new ArrayDeque<>(), further = new ArrayDeque<>();
+    private List<Front.Action> out = new ArrayList<>();
+    private double now, watched;
+    private int ended;
+    private boolean started, subscribed;
+    private double askedAt = Double.NEGATIVE_INFINITY;
+
+    /** Starts an instance; impossible settings are rejected by name. */
+    public Decide(Front.Settings settings, long seed, double now) {
+        set = settings;
+        require(set.fronts() >= 1, "replicasOfMe");
+        require(set.fleet().racks() >= 1, "specifics.groups");
+        require(set.fleet().places() >= 1, "specifics.places");
+        require(set.ladder().kb().length >= 1 && set.ladder().kb().length == set.ladder().worth().length,
+            "specifics.ladderKb");
+        require(!set.classes().isEmpty(), "classes");
+        for (Front.Terms c : set.classes()) {
+            require(c.floor() >= 0 && c.floor() < set.ladder().kb().length, "specifics.classFloor");
+        }
+        random = new SplittableRandom(seed);
+        born = now;
+        this.now = now;
+        racks = new Pipe[set.fleet().racks()];
+        for (int i = 0; i < racks.length; i++) racks[i] = new Pipe();
+        cellLink = new double[set.fleet().places()];
+    }
+
+    private static void require(boolean holds, String setting) {
+        if (!holds) throw new IllegalArgumentException("impossible setting: " + setting);
+    }
+
+    // ---- event dispatch ----
+
+    /** Takes one event at time {@code time} and returns the actions it calls for, in order. */
+    public List<Front.Action> on(double time, Front.Event event) {
+        now = time;
+        out = new ArrayList<>();
+        if (!started) start();
+        if (event instanceof Front.Update e) onUpdate(e);
+        else if (event instanceof Front.NewRequest e) onRequest(e.ask());
+        else if (event instanceof Front.AlreadyOpen e) onOpen(e.ask(), e.host());
+        else if (event instanceof Front.HeadReceived e) onFirst(e);
+        else if (event instanceof Front.Result e) onResult(e);
+        else if (event instanceof Front.CancelledByClient e) onGone(e.req());
+        else if (event instanceof Front.StatusBack e) onProbe(e);
+        else if (event instanceof Front.Note e) onNote(e);
+        else if (event instanceof Front.Due e) onDue(e.tag());
+        return out;
+    }
+
+    private void start() {
+        started = true;
+        if (set.onRequest()) subscribe();
+        out.add(new Front.Sleep(PERIOD * (0.5 + 0.5 * random.nextDouble()), "pack"));
+    }
+
+    private void onDue(String tag) {
+        if (tag.equals("pack")) {
+            periodicCheck();
+            out.add(new Front.Sleep(PERIOD, "pack"));
+        } else if (tag.startsWith("wait:")) {
+            String[] part = tag.split(":");
+            Session s = sessions.get(Long.parseLong(part[1]));
+            if (s != null && s.out && s.shot == Integer.parseInt(part[2])) suspect(s.at);
+        }
+    }
+
+    // ---- membership, drain and cold pacing ----
+
+    private void subscribe() {
+        askedAt = now;
+        out.add(new Front.Listen(true));
+    }
+
+    private void onUpdate(Front.Update e) {
+        if (e.mode().equals("broken")) {
+            subscribed = false;
+            return;
+        }
+        if (!e.mode().equals("stale_copy")) subscribed = true;
+        if (!e.mode().equals("patch")) servers.values().forEach(s -> s.running = false);
+        for (Front.Entry entry : e.entries()) {
+            Server s = servers.computeIfAbsent(entry.host(), Server::new);
+            s.entry = entry;
+            s.running = entry.status().equals("Running");
+            if (entry.since() > s.since) {
+                s.since = entry.since();
+                if (now - s.since < set.rules().cold()) {
+                    s.lost = false;
+                    s.strikes = 0;
+                    s.suspectUntil = Double.NEGATIVE_INFINITY;
+                    s.trust = 1;
+                }
+            }
+        }
+        servers.values().removeIf(s -> !s.running && s.held.isEmpty() && s.entry.status().equals("Deleted"));
+        size();
+    }
+
+    /** Sets link and uplink sizes from what is told; a machine's size is its weight or, untold, its places. */
+    private void size() {
+        Front.Fleet f = set.fleet();
+        boolean weighed = f.weightKind().equals("nominal") || f.weightKind().equals("rough");
+        double slotSum = 0;
+        for (Server s : servers.values()) slotSum += places(s);
+        double mean = slotSum / Math.max(1, servers.size()), linkSum = 0;
+        for (Server s : servers.values()) {
+            double cap = f.linkUnitKb() * (weighed ? s.entry.weight() : places(s) / mean);
+            resize(s.link, cap * warmth(s), LUMP);
+            cellLink[Math.floorMod(s.entry.slot(), cellLink.length)] = cap;
+        }
+        double[] rackSum = new double[racks.length];
+        for (int c = 0; c < cellLink.length; c++) {
+            rackSum[c % racks.length] += cellLink[c];
+            linkSum += cellLink[c];
+        }
+        for (int r = 0; r < racks.length; r++) {
+            double part = linkSum > 0 ? rackSum[r] / linkSum : 1.0 / racks.length;
+            resize(racks[r], f.rackLinkKb() * racks.length * part, 1);
+        }
+    }
+
+    private void resize(Pipe p, double cap, double lump) {
+        double fair = AIM * cap * Math.min(1, lump / set.fronts());
+        p.budget = p.cap > 0 ? p.budget * fair / Math.max(1e-9, p.fair) : fair;
+        p.cap = cap;
+        p.fair = fair;
+    }
+
+    private double places(Server s) {
+        int k = Math.max(0, set.fleet().kinds().indexOf(s.entry.kind()));
+        return Math.max(1, k < set.fleet().slots().length ? set.fleet().slots()[k] : 1);
+    }
+
+    /** How far a server is known to have warmed up, from the cold share to 1. */
+    private double warmth(Server s) {
+        return warmth(s, Math.max(s.since, s.backAt));
+    }
+
+    private double warmth(Server s, double from) {
+        double cold = set.rules().cold(), share = set.rules().coldShare();
+        if (s.lost) return share;
+        return cold <= 0 ? 1 : Math.min(1, share + (1 - share) * Math.max(0, now - from) / cold);
+    }
+
+    /**
+     * Fail-back: to a server that may have started within the warm-up (told, witnessed, or not known because
+     * this instance itself is new) the fronts take turns by the clock, so that all of them together stay
+     * within its places over its warm-up times its warmth. Also holds for a server back from silence; it may
+     * delay a set-up that a warm server would have taken.
+     */
+    private boolean coldTurn(Server s) {
+        Front.Rules r = set.rules();
+        double from = Math.max(Math.max(s.since, s.backAt), born);
+        if (r.cold() <= 0 || (!s.lost && now - from >= r.cold())) return true;
+        double gap = r.cold() / (places(s) * (s.lost ? r.coldShare() : warmth(s, from)));
+        return (long) Math.floor(now / gap) % set.fronts() == set.me() && now - s.lastPaced >= gap;
+    }
+
+    // ---- the account of server and rack room ----
+
+    private Pipe rack(Server s) {
+        return racks[Math.floorMod(Math.floorMod(s.entry.slot(), set.fleet().places()), racks.length)];
+    }
+
+    private double rate(Session s, int rung) {
+        return set.ladder().kb()[rung] * set.classes().get(s.cls).rateFactor();
+    }
+
+    /** What a session adds to its server at a rung; viewers of one live title there may share a stream. */
+    private double adds(Session s, Server at, int rung) {
+        double rate = rate(s, rung);
+        if (!set.classes().get(s.cls).live() || set.ladder().joinAdds() >= 1) return rate;
+        for (Session o : at.held.values()) {
+            if (o == s) break;
+            if (o.cls == s.cls && o.rung == rung && o.ask.title() == s.ask.title()) return rate * set.ladder().joinAdds();
+        }
+        return rate;
+    }
+
+    /** Counts again what this front asks of a server's link and its rack's uplink, freed shares included. */
+    private void recount(Server s) {
+        record(s.link, ownAt(s));
+        Pipe r = rack(s);
+        double sum = 0;
+        for (Server o : servers.values()) if (rack(o) == r) sum += o == s ? s.link.own : o.link.own;
+        record(r, sum);
+    }
+
+    private double ownAt(Server s) {
+        double sum = 0;
+        for (Session o : s.held.values()) sum += adds(o, s, o.rung);
+        for (Freed f : freeList) if (f.at == s) sum += f.rate;
+        return sum;
+    }
+
+    private void record(Pipe p, double own) {
+        p.past.addLast(new double[] {now, p.own});
+        p.own = own;
+        while (!p.past.isEmpty() && p.past.peekFirst()[0] < now - 2 * set.see() - 2000) p.past.removeFirst();
+    }
+
+    /** The most this front asked of a pipe between two times past. */
+    private double ownSince(Pipe p, double from, double to) {
+        double most = -1;
+        for (double[] was : p.past) {
+            if (was[0] < from) continue;
+            most = Math.max(most, was[1]);
+            if (was[0] >= to) return most;
+        }
+        return Math.max(most, p.own);
+    }
+
+    /** A note of use (asked over given): own use then, plus this front's part of the room left. */
+    private void use(Pipe p, double x, double lag) {
+        double then = ownSince(p, now - lag, now - lag);
+        double even = AIM * p.cap / set.fronts();
+        p.budget = x < AIM ? then + (AIM - x) * p.cap / set.fronts() : then * AIM / x;
+        if (x < 1) p.budget = Math.max(p.budget, 0.5 * even);
+        p.noted = true;
+    }
+
+    private void report(Server s, Map<String, Double> report) {
+        Double x0 = report.getOrDefault("x0", report.get("load_share")), x1 = report.get("x1");
+        if (x0 != null) use(s.link, x0, set.see() / 2);
+        if (x1 != null) use(rack(s), x1, set.see() / 2);
+    }
+
+    private void onNote(Front.Note e) {
+        Session s = sessions.get(e.req());
+        Server at = servers.get(e.host());
+        if (at == null) return;
+        double lag = s != null && now - s.startedAt < set.see() ? 0 : set.see();
+        switch (e.sort()) {
+            case 1 -> shortShare(at, e.value());
+            case 2 -> {
+                if (s != null && s.at != null) {
+                    s.rung = (int) e.value();
+                    recount(s.at);
+                }
+            }
+            case 3 -> use(at.link, e.value(), lag);
+            case 4 -> use(rack(at), e.value(), lag);
+            default -> { }
+        }
+    }
+
+    /**
+     * A short-share note tells of about see ago: the budget is cut to what was delivered of the most asked
+     * then, so that the same shortage heard again cuts no deeper. Where most servers of the rack with sessions
+     * of ours are short together it is the uplink, otherwise the link.
+     */
+    private void shortShare(Server at, double share) {
+        at.lastShare = share;
+        if (share >= 0.98) return;
+        at.shortAt = now;
+        int held = 0, low = 0;
+        Pipe r = rack(at);
+        for (Server o : servers.values()) {
+            if (rack(o) != r || o.held.isEmpty()) continue;
+            held++;
+            if (now - o.shortAt <= 1000 + set.tick()) low++;
+        }
+        cut(low >= 2 && 2 * low > held ? r : at.link, share);
+        relieve(at);
+    }
+
+    private void cut(Pipe p, double share) {
+        double then = ownSince(p, now - set.see() - 1000, now - set.see());
+        p.budget = Math.min(p.budget, then * share * CUT);
+        p.shortAt = now;
+    }
+
+    /** Regains room after a shortage, additively; a pipe whose use is told is left to its notes. */
+    private void regain(Pipe p) {
+        if (p.noted && p.budget >= p.fair) return;
+        if (now - p.shortAt < set.see() + 1000) return;
+        p.budget = Math.min(Math.max(p.fair, p.budget), p.budget + REGAIN * p.fair * PERIOD / 1000);
+    }
+
+    private double room(Server s) {
+        return Math.min(s.link.room(), rack(s).room());
+    }
+
+    // ---- server pick ----
+
+    private boolean holds(Server s, Front.Ask ask) {
+        int cells = set.fleet().places();
+        return Math.floorMod(s.entry.slot() - ask.home(), cells) < ask.holders();
+    }
+
+    private boolean eligible(Session s, Server at) {
+        if (!at.running || !holds(at, s.ask) || !coldTurn(at) || s.tried.contains(at)) return false;
+        if (now < at.suspectUntil) return false;
+        if (at.strikes > 0) {
+            if (set.classes().get(s.cls).effect() == Front.Effect.SIDE_EFFECT) return false;
+            for (Session o : at.held.values()) if (o.out) return false;
+        }
+        if (at.held.size() >= places(at)) return false;
+        return true;
+    }
+
+    /** The holders this session may go to, most trusted room first, ties at random. */
+    private List<Server> candidates(Session s) {
+        Map<Server, Double> score = new HashMap<>();
+        List<Server> all = new ArrayList<>();
+        for (Server at : servers.values()) {
+            if (!eligible(s, at)) continue;
+            double room = room(at);
+            score.put(at, (room > 0 ? room * at.trust * at.trust : room) + 1e-3 * random.nextDouble()
+                + (at.entry.zone().equals(set.zone()) ? 0.01 : 0));
+            all.add(at);
+        }
+        all.sort(Comparator.comparingDouble((Server at) -> -score.get(at)));
+        return all;
+    }
+
+    // ---- admission ----
+
+    private int classOf(String name) {
+        for (int i = 0; i < set.classes().size(); i++) if (set.classes().get(i).name().equals(name)) return i;
+        return -1;
+    }
+
+    private void onRequest(Front.Ask ask) {
+        int cls = classOf(ask.service());
+        taken.addLast(now);
+        if (cls < 0) {
+            out.add(new Front.Fail(ask.req()));
+            return;
+        }
+        Session s = new Session(ask, cls, now, set.classes().get(cls).worth());
+        sessions.put(ask.req(), s);
+        place(s);
+    }
+
+    private int top(Session s) {
+        Front.Terms c = set.classes().get(s.cls);
+        return Math.max(c.floor(), Math.min(Math.min(s.ask.top(), c.top()), set.ladder().kb().length - 1));
+    }
+
+    private double payoff(Session s, int rung) {
+        return s.weight * set.ladder().worth()[rung];
+    }
+
+    /** Time (s) over which a change of this session's rung pays: what is left of it, within the horizon. */
+    private double stay() {
+        double sum = watched;
+        for (Session s : sessions.values()) if (s.playing) sum += now - s.startedAt;
+        return Math.min(HORIZON, sum / (ended + 1)) / 1000;
+    }
+
+    private double reserve() {
+        return set.ladder().kb()[0];
+    }
+
+    /** Places a request: freed share, top fitting rung, reserve and climb, or an answer at once. */
+    private void place(Session s) {
+        if (!seatFree(s)) {
+            giveUp(s);
+            return;
+        }
+        List<Server> all = candidates(s);
+        for (Freed f : List.copyOf(freeList)) {
+            if (f.cls != s.cls || !all.contains(f.at) || f.at.link.room() < 0 || rack(f.at).room() < 0) continue;
+            freeList.remove(f);
+            recount(f.at);
+            int rung = fitting(s, f.at, 0);
+            if (rung >= 0 && send(s, f.at, Math.max(rung, Math.min(f.rung, top(s))))) return;
+        }
+        for (Server at : all) {
+            int rung = fitting(s, at, reserve());
+            if (rung >= 0 && send(s, at, rung)) return;
+        }
+        for (Server at : all) if (squeeze(s, at)) return;
+        giveUp(s);
+    }
+
+    /** The highest rung that the free room allows, or -1. */
+    private int fitting(Session s, Server at, double reserve) {
+        for (int r = top(s); r >= set.classes().get(s.cls).floor(); r--) {
+            if (rate(s, r) <= room(at) - reserve) return r;
+        }
+        return -1;
+    }
+
+    /** Starts at the lowest rung from the reserve, or from room that others give up for less than it gains. */
+    private boolean squeeze(Session s, Server at) {
+        int rung = set.classes().get(s.cls).floor();
+        double stay = stay();
+        if (rate(s, rung) > room(at)) {
+            List<Session> give = givers(at, rate(s, rung), payoff(s, rung) * stay, stay);
+            if (give == null) return false;
+            give.forEach(o -> setRung(o, o.rung - 1));
+        }
+        while (rung < top(s)) {
+            double gain = (payoff(s, rung + 1) - payoff(s, rung)) * stay;
+            List<Session> give = givers(at, rate(s, rung + 1), gain, stay);
+            if (give == null) break;
+            give.forEach(o -> setRung(o, o.rung - 1));
+            rung++;
+        }
+        return send(s, at, rung);
+    }
+
+    private void giveUp(Session s) {
+        sessions.remove(s.ask.req());
+        Front.Terms c = set.classes().get(s.cls);
+        boolean mayRefuse = !s.mayHaveRun || c.effect() == Front.Effect.PURE
+            || (c.effect() == Front.Effect.TOKEN && c.group().equals("all"));
+        if (!mayRefuse) out.add(new Front.Fail(s.ask.req()));
+        else out.add(new Front.NotNow(s.ask.req(),
+            set.rules().retryAfter() ? Math.min(set.rules().maxRetryAfter(), PERIOD) : 0));
+    }
+
+    // ---- degrade ----
+
+    /** Sessions whose one-step drops free {@code need} at a server for less payoff than {@code gain}, or null. */
+    private List<Session> givers(Server at, double need, double gain, double stay) {
+        List<Session> give = new ArrayList<>();
+        double linkNeed = need - at.link.room(), rackNeed = need - rack(at).room(), lost = 0;
+        while (linkNeed > 0 || rackNeed > 0) {
+            Session best = null;
+            double bestPrice = Double.POSITIVE_INFINITY;
+            for (Server o : servers.values()) {
+                if (o != at && (linkNeed > 0 || rack(o) != rack(at))) continue;
+                for (Session g : o.held.values()) {
+                    if (!g.playing || g.rung <= set.classes().get(g.cls).floor() || give.contains(g)) continue;
+                    double price = loss(g, stay) / (rate(g, g.rung) - rate(g, g.rung - 1));
+                    if (price < bestPrice) {
+                        bestPrice = price;
+                        best = g;
+                    }
+                }
+            }
+            if (best == null) return null;
+            give.add(best);
+            lost += loss(best, stay);
+            if (lost >= gain) return null;
+            double freed = rate(best, best.rung) - rate(best, best.rung - 1);
+            if (best.at == at) linkNeed -= freed;
+            rackNeed -= freed;
+        }
+        return give;
+    }
+
+    private double loss(Session g, double stay) {
+        return (payoff(g, g.rung) - payoff(g, g.rung - 1)) * stay + set.ladder().switchS() * g.weight;
+    }
+
+    /** Greedy drops until the server and its rack are within their budgets again. */
+    private void relieve(Server at) {
+        while (room(at) < 0) {
+            List<Session> give = givers(at, 0, Double.POSITIVE_INFINITY, stay());
+            if (give == null) {
+                Session any = null;
+                for (Session g : at.held.values()) {
+                    if (g.playing && g.rung > set.classes().get(g.cls).floor()) any = g;
+                }
+                if (any == null) return;
+                give = List.of(any);
+            }
+            give.forEach(g -> setRung(g, g.rung - 1));
+        }
+    }
+
+    // ---- re-pack ----
+
+    private void periodicCheck() {
+        size();
+        for (Server s : servers.values()) {
+            regain(s.link);
+            recount(s);
+        }
+        for (Pipe r : racks) regain(r);
+        if (freeList.removeIf(f -> f.until <= now)) servers.values().forEach(this::recount);
+        for (Pipe r : racks) optCycle(r);
+        if (set.onRequest() && !subscribed && now - askedAt > set.rules().askEvery() / 4) subscribe();
+    }
+
+    /** Best packing of one server for every budget up to a limit: value and each session's rung. */
+    private record Packing(List<Session> sessions, double[] value, int[][] rung) { }
+
+    /** OptCycle: a knapsack over each server's sessions within its link, then over servers within the uplink. */
+    private void optCycle(Pipe r) {
+        double unit = Math.max(1, r.budget) / UNITS;
+        List<Packing> packs = new ArrayList<>();
+        int free = UNITS - (int) Math.ceil(reserve() / unit);
+        for (Server s : servers.values()) {
+            if (rack(s) != r || s.held.isEmpty()) continue;
+            List<Session> play = new ArrayList<>();
+            double fixed = s.link.own;
+            for (Session o : s.held.values()) {
+                if (!o.playing) continue;
+                play.add(o);
+                fixed -= adds(o, s, o.rung);
+            }
+            free -= (int) Math.ceil(fixed / unit);
+            if (!play.isEmpty()) packs.add(pack(play, s.link.budget - fixed, unit));
+        }
+        if (free < 0) return;
+        int[][] split = new int[packs.size()][];
+        double[] best = new double[free + 1];
+        for (int k = 0; k < packs.size(); k++) {
+            double[] v = packs.get(k).value, next = new double[free + 1];
+            Arrays.fill(next, Double.NEGATIVE_INFINITY);
+            split[k] = new int[free + 1];
+            for (int g = 0; g <= free; g++) {
+                for (int h = Math.min(g, v.length - 1); h >= 0 && v[h] > Double.NEGATIVE_INFINITY; h--) {
+                    if (best[g - h] + v[h] > next[g]) {
+                        next[g] = best[g - h] + v[h];
+                        split[k][g] = h;
+                    }
+                }
+            }
+            best = next;
+        }
+        if (best[free] == Double.NEGATIVE_INFINITY) return;
+        Map<Session, Integer> plan = new LinkedHashMap<>();
+        for (int k = packs.size() - 1, g = free; k >= 0; g -= split[k--][g]) assign(packs.get(k), split[k][g], plan);
+        plan.forEach((s, rung) -> {
+            if (rung < s.rung) setRung(s, rung);
+        });
+        plan.forEach((s, rung) -> {
+            if (rung > s.rung) setRung(s, rung);
+        });
+    }
+
+    private Packing pack(List<Session> play, double budget, double unit) {
+        int size = (int) Math.max(0, Math.min(UNITS, Math.floor(budget / unit)));
+        double[] value = new double[size + 1];
+        int[][] rung = new int[play.size()][size + 1];
+        double stay = stay();
+        for (int i = 0; i < play.size(); i++) {
+            Session s = play.get(i);
+            double[] next = new double[size + 1];
+            Arrays.fill(next, Double.NEGATIVE_INFINITY);
+            for (int r = set.classes().get(s.cls).floor(); r <= top(s); r++) {
+                int cost = (int) Math.ceil(rate(s, r) / unit);
+                double worth = payoff(s, r) * stay - (r == s.rung ? 0 : set.ladder().switchS() * s.weight);
+                for (int g = cost; g <= size; g++) {
+                    if (value[g - cost] + worth > next[g]) {
+                        next[g] = value[g - cost] + worth;
+                        rung[i][g] = r;
+                    }
+                }
+            }
+            value = next;
+        }
+        return new Packing(play, value, rung);
+    }
+
+    private void assign(Packing p, int units, Map<Session, Integer> plan) {
+        double unit = Math.max(1, rack(p.sessions.get(0).at).budget) / UNITS;
+        for (int i = p.sessions.size() - 1, g = units; i >= 0; i--) {
+            Session s = p.sessions.get(i);
+            plan.put(s, p.rung[i][g]);
+            g -= (int) Math.ceil(rate(s, p.rung[i][g]) / unit);
+        }
+    }
+
+    // ---- attempts and deadlines ----
+
+    private boolean seatFree(Session s) {
+        int seats = set.classes().get(s.cls).seats(), held = 0;
+        if (seats <= 0) return true;
+        for (Session o : sessions.values()) {
+            if (o != s && o.cls == s.cls && o.ask.title() == s.ask.title() && o.at != null) held++;
+        }
+        return held < seats;
+    }
+
+    /** The one gate of every attempt: all rules are checked here. */
+    private boolean send(Session s, Server at, int rung) {
+        Front.Terms c = set.classes().get(s.cls);
+        Front.Rules r = set.rules();
+        if (s.out || s.playing || now >= s.deadline || s.shot + 1 >= r.sendCap()) return false;
+        if (!at.running || !holds(at, s.ask) || !coldTurn(at) || !seatFree(s)) return false;
+        if (s.mayHaveRun && !mayRepeat(s, at, c)) return false;
+        if (s.shot >= 0 && !withinBudget()) return false;
+        if (s.shot >= 0) further.addLast(now);
+        s.shot++;
+        s.out = true;
+        s.at = at;
+        s.sentAt = now;
+        s.tried.add(at);
+        at.lastPaced = now;
+        at.held.put(s.ask.req(), s);
+        s.rung = -1;
+        setRung(s, rung);
+        boolean once = c.effect() != Front.Effect.PURE || s.shot + 1 >= r.sendCap();
+        double patience = PATIENCE * Math.min(c.aim(), s.ask.ttl());
+        out.add(new Front.Transmit(s.ask.req(), at.id, once ? s.deadline : Math.min(s.deadline, now + patience)));
+        out.add(new Front.Sleep(patience, "wait:" + s.ask.req() + ":" + s.shot));
+        return true;
+    }
+
+    /** May an attempt follow one that perhaps ran? Safe classes: yes; token: within its group and window. */
+    private boolean mayRepeat(Session s, Server at, Front.Terms c) {
+        return switch (c.effect()) {
+            case PURE -> true;
+            case SIDE_EFFECT -> false;
+            case TOKEN -> now - s.ranAt < c.dedupWindow() && switch (c.group()) {
+                case "all" -> true;
+                case "zone" -> at.entry.zone().equals(s.ranOn.entry.zone());
+                default -> at.entry.slot() == s.ranOn.entry.slot();
+            };
+        };
+    }
+
+    private boolean withinBudget() {
+        Front.Rules r = set.rules();
+        if (r.extraWindow() <= 0) return true;
+        while (!taken.isEmpty() && taken.peekFirst() <= now - r.extraWindow()) taken.removeFirst();
+        while (!further.isEmpty() && further.peekFirst() < now - r.extraWindow()) further.removeFirst();
+        return further.size() + 1 <= r.freeResends() + r.extraShare() * taken.size();
+    }
+
+    /** The one way to set a rung: never under the class's floor nor above what viewer and class can use. */
+    private void setRung(Session s, int rung) {
+        int to = Math.max(set.classes().get(s.cls).floor(), Math.min(top(s), rung));
+        if (to == s.rung) return;
+        s.rung = to;
+        out.add(new Front.Rate(s.ask.req(), to));
+        if (s.at != null) recount(s.at);
+    }
+
+    private void onOpen(Front.Ask ask, String host) {
+        int cls = classOf(ask.service());
+        Server at = servers.computeIfAbsent(host, Server::new);
+        if (cls < 0 || at.entry == null) return;
+        Session s = new Session(ask, cls, now, set.classes().get(cls).worth());
+        s.shot = 0;
+        s.playing = true;
+        s.at = at;
+        s.startedAt = now;
+        s.rung = set.classes().get(cls).floor();
+        sessions.put(ask.req(), s);
+        at.held.put(ask.req(), s);
+        recount(at);
+    }
+
+    private void onFirst(Front.HeadReceived e) {
+        Session s = sessions.get(e.req());
+        if (s == null || s.at == null) return;
+        s.out = false;
+        s.playing = true;
+        s.startedAt = now;
+        answered(s.at);
+    }
+
+    private void release(Session s) {
+        if (s.at == null) return;
+        Server at = s.at;
+        at.held.remove(s.ask.req());
+        s.at = null;
+        recount(at);
+    }
+
+    private void onGone(long req) {
+        Session s = sessions.get(req);
+        if (s == null) return;
+        s.mayHaveRun = true;
+        if (!s.out) {
+            sessions.remove(req);
+            release(s);
+        }
+    }
+
+    private void onResult(Front.Result e) {
+        Server host = servers.get(e.host());
+        if (host != null) report(host, e.report());
+        Session s = sessions.get(e.req());
+        if (s == null || e.shot() != s.shot) return;
+        boolean played = s.playing, neverRan = switch (e.code()) {
+            case "QueueFull", "ConnectError", "Ignored" -> true;
+            default -> false;
+        };
+        Server at = s.at;
+        s.out = false;
+        s.playing = false;
+        if (!neverRan) {
+            s.mayHaveRun = true;
+            s.ranAt = s.sentAt;
+            s.ranOn = at;
+        }
+        if (at != null) {
+            judge(at, e.code(), played);
+            release(s);
+        }
+        if (played) {
+            watched += now - s.startedAt;
+            ended++;
+            if (e.code().equals("Ok") && at != null && at.running) {
+                freeList.add(new Freed(s.cls, at, s.rung, rate(s, s.rung), now + HOLD));
+                recount(at);
+            }
+        }
+        if (e.over()) sessions.remove(e.req());
+        else if (now >= s.deadline) giveUp(s);
+        else place(s);
+    }
+
+    // ---- health ----
+
+    private void answered(Server at) {
+        if (at.lost) {
+            at.lost = false;
+            at.backAt = now;
+        }
+        at.strikes = 0;
+        at.trust += RETRUST * (1 - at.trust);
+    }
+
+    private void judge(Server at, String code, boolean played) {
+        switch (code) {
+            case "Failed" -> at.trust *= DISTRUST;
+            case "QueueFull" -> at.link.budget = Math.min(at.link.budget, at.link.own * CUT);
+            case "ResetByPeer", "ConnectError" -> {
+                at.lost = true;
+                suspect(at);
+            }
+            case "TimedOut" -> suspect(at);
+            default -> { }
+        }
+    }
+
+    /** Suspicion: no new set-ups for a while that doubles with each strike, then one safe try at a time. */
+    private void suspect(Server at) {
+        if (at == null || now < at.suspectUntil) return;
+        double base = PATIENCE * set.classes().get(0).aim();
+        at.suspectUntil = now + Math.min(set.rules().cold(), base * Math.pow(2, at.strikes));
+        at.strikes++;
+        at.lost |= at.strikes > 1;
+    }
+
+    private void onProbe(Front.StatusBack e) {
+        Server s = servers.get(e.host());
+        if (s != null && e.code().equals("Ok")) report(s, e.report());
+    }
+}
--- /dev/null
+++ b/src/main/java/trestleline/drill/Bench.java
@@ -0,0 +1,90 @@
+package trestleline.drill;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import trestleline.Decide;
+import trestleline.Front;
+
+/** The instance table: one {@link Decide} a gateway, fed batch by batch. Instances share nothing but the lists. */
+final class Bench {
+    private final ObjectMapper mapper = new ObjectMapper();
+    private final Map<Integer, Decide> instances = new HashMap<>();
+    private final Map<Integer, List<Front.Entry>> tables = new HashMap<>();
+
+    /** Answers one batch line with one reply line. */
+    String answer(String line) {
+        JsonNode batch;
+        try {
+            batch = mapper.readTree(line);
+        } catch (JsonProcessingException e) {
+            throw new WireException("malformed JSON: " + e.getOriginalMessage());
+        }
+        Fields head = new Fields(batch, "batch");
+        long n = head.whole("n");
+        double now = head.num("moment");
+        ObjectNode reply = mapper.createObjectNode();
+        reply.put("n", n);
+        ArrayNode outbox = reply.putArray("outbox");
+        try {
+            head.objects("arrivals", f -> {
+                one(f, now, outbox);
+                return f;
+            });
+        } catch (WireException e) {
+            throw new WireException("batch " + n + ": " + e.getMessage());
+        }
+        return reply.toString();
+    }
+
+    private void one(Fields f, double now, ArrayNode outbox) {
+        String what = f.text("what");
+        if (what.equals("table")) {
+            tables.put(f.small("buffer"), List.copyOf(f.objects("nodesList", Wire::entry)));
+            return;
+        }
+        int gateway = f.small("gatewayId");
+        Decide instance = instances.get(gateway);
+        switch (what) {
+            case "hello" -> {
+                Front.Settings settings = Wire.settings(f.object("facts"));
+                long seed = f.whole("nonce64");
+                try {
+                    instances.put(gateway, new Decide(settings, seed, now));
+                } catch (RuntimeException e) {
+                    bug(gateway, e, outbox);
+                }
+            }
+            case "kill" -> instances.remove(gateway);
+            case "update" -> feed(gateway, instance, now, update(f), outbox);
+            default -> feed(gateway, instance, now, Wire.event(what, f), outbox);
+        }
+    }
+
+    private Front.Update update(Fields f) {
+        String mode = f.text("mode");
+        if (mode.equals("broken")) return new Front.Update(mode, List.of(), 0);
+        List<Front.Entry> entries = tables.get(f.small("buffer"));
+        if (entries == null) throw new WireException("update: field 'buffer' names no table");
+        return new Front.Update(mode, entries, f.whole("rev"));
+    }
+
+    private static void feed(int gateway, Decide instance, double now, Front.Event event, ArrayNode outbox) {
+        if (instance == null) return;
+        try {
+            for (Front.Action action : instance.on(now, event)) outbox.add(Wire.action(gateway, action));
+        } catch (RuntimeException e) {
+            bug(gateway, e, outbox);
+        }
+    }
+
+    private static void bug(int gateway, RuntimeException e, ArrayNode outbox) {
+        StackTraceElement at = e.getStackTrace().length > 0 ? e.getStackTrace()[0] : null;
+        outbox.addObject().put("what", "bug").put("gatewayId", gateway).put("text", e + " at " + at);
+    }
+}
