--- a/src/main/java/trestleline/Decide.java
+++ b/src/main/java/trestleline/Decide.java
@@ -28,8 +28,6 @@
     private static final double REGAIN = 0.04;
     /** Re-pack period (ms): the document's, a few adaptation operations. */
     private static final double PERIOD = 2000;
-    /** Gains of a switch are counted over at most this time (ms): the packing rarely stands longer. */
-    private static final double HORIZON = 10000;
     /** Steps in which a rack's budget is packed. */
     private static final int UNITS = 400;
     /** A freed share is kept for its class for this long (ms). */
@@ -99,7 +97,7 @@
     private final ArrayDeque<Double> taken = new ArrayDeque<>(), further = new ArrayDeque<>();
     private List<Front.Action> out = new ArrayList<>();
     private double now, watched;
-    private int ended;
+    private int ended, switches;
     private boolean started, subscribed;
     private double askedAt = Double.NEGATIVE_INFINITY;
 
@@ -441,11 +439,15 @@
         return s.weight * set.ladder().worth()[rung];
     }
 
-    /** Time (s) over which a change of this session's rung pays: what is left of it, within the horizon. */
+    /**
+     * Time (s) over which a change of rung pays: the mean time that a rung stood so far, until a switch or the
+     * end. Guards against flapping: the more often rungs were changed, the more a change must gain. It holds
+     * for on-off links as for waves of viewers; after a stormy start it may keep upgrades back for a while.
+     */
     private double stay() {
         double sum = watched;
         for (Session s : sessions.values()) if (s.playing) sum += now - s.startedAt;
-        return Math.min(HORIZON, sum / (ended + 1)) / 1000;
+        return sum / (ended + switches + 1) / 1000;
     }
 
     private double reserve() {
@@ -719,6 +721,7 @@
         int to = Math.max(set.classes().get(s.cls).floor(), Math.min(top(s), rung));
         if (to == s.rung) return;
         s.rung = to;
+        if (s.playing) switches++;
         out.add(new Front.Rate(s.ask.req(), to));
         if (s.at != null) recount(s.at);
     }
