--- a/src/main/java/trestleline/Decide.java
+++ b/src/main/java/trestleline/Decide.java
@@ -19,7 +19,7 @@
  */
 public final class Decide {
     /** Share of a pipe that is packed: true rates stray from the ladder, and short delivery costs most. */
-    private static final double AIM = 0.90;
+    private static final double AIM = 0.82;
     /** How much more than an even part of a link one front may pack; the rack's part still bounds the sum. */
     private static final double LUMP = 1.3;
     /** After a short-share note own use is cut to this part of what was delivered. */
@@ -27,7 +27,7 @@
     /** Regained budget a second after shortage, as a part of the even share (the additive part of AIMD). */
     private static final double REGAIN = 0.01;
     /** Re-pack period (ms): the document's, a few adaptation operations. */
-    private static final double PERIOD = 2000;
+    private static final double PERIOD = 4000;
     /** Steps in which a rack's budget is packed. */
     private static final int UNITS = 400;
     /** A freed share is kept for its class for this long (ms). */
