--- a/src/main/java/trestleline/Decide.java
+++ b/src/main/java/trestleline/Decide.java
@@ -19,7 +19,7 @@
  */
 public final class Decide {
     /** Share of a pipe that is packed: true rates stray from the ladder, and short delivery costs most. */
-    private static final double AIM = 0.82;
+    private static final double AIM = 0.96;
     /** How much more than an even part of a link one front may pack; the rack's part still bounds the sum. */
     private static final double LUMP = 1.3;
     /** After a short-share note own use is cut to this part of what was delivered. */
