--- a/src/main/java/trestleline/Decide.java
+++ b/src/main/java/trestleline/Decide.java
@@ -57,7 +57,7 @@
         double since, backAt = Double.NEGATIVE_INFINITY, lastPaced = Double.NEGATIVE_INFINITY;
         double suspectUntil = Double.NEGATIVE_INFINITY, trust = 1, shortAt = Double.NEGATIVE_INFINITY, lastShare = 1;
         int strikes;
-        boolean lost;
+        boolean lost, proven;
 
         Server(String id) {
             this.id = id;
@@ -240,17 +240,23 @@
     }
 
     /**
-     * Fail-back: to a server that may have started within the warm-up (told, witnessed, or not known because
-     * this instance itself is new) the fronts take turns by the clock, so that all of them together stay
-     * within its places over its warm-up times its warmth. Also holds for a server back from silence; it may
-     * delay a set-up that a warm server would have taken.
+     * Fail-back: to a server known to have started within the warm-up (told, or witnessed as lost and back) the
+     * fronts take turns by the clock, so that all of them together stay within its places over its warm-up
+     * times its warmth. An instance that is itself new cannot know what restarted behind its stale list: until
+     * told anew it spaces its sends to a server by its own part of what the rule allows. A server that holds
+     * sessions handed over is known to have run. Either may delay a set-up that a warm server would have taken.
      */
     private boolean coldTurn(Server s) {
         Front.Rules r = set.rules();
-        double from = Math.max(Math.max(s.since, s.backAt), born);
-        if (r.cold() <= 0 || (!s.lost && now - from >= r.cold())) return true;
-        double gap = r.cold() / (places(s) * (s.lost ? r.coldShare() : warmth(s, from)));
-        return (long) Math.floor(now / gap) % set.fronts() == set.me() && now - s.lastPaced >= gap;
+        double from = Math.max(s.since, s.backAt);
+        if (r.cold() <= 0) return true;
+        if (s.lost || now - from < r.cold()) {
+            double gap = r.cold() / (places(s) * warmth(s));
+            return (long) Math.floor(now / gap) % set.fronts() == set.me() && now - s.lastPaced >= gap;
+        }
+        if (subscribed || s.proven || now - born >= r.cold()) return true;
+        double gap = r.cold() * set.fronts() / (places(s) * r.coldShare() * Math.max(1, r.overloadFactor()));
+        return now - s.lastPaced >= gap;
     }
 
     // ---- the account of server and rack room ----
@@ -732,6 +738,7 @@
         if (cls < 0 || at.entry == null) return;
         Session s = new Session(ask, cls, now, set.classes().get(cls).worth());
         s.shot = 0;
+        at.proven = true;
         s.playing = true;
         s.at = at;
         s.startedAt = now;
