--- a/src/main/java/trestleline/Decide.java
+++ b/src/main/java/trestleline/Decide.java
@@ -32,7 +32,7 @@
     private static final int UNITS = 400;
     /** A freed share is kept for its class for this long (ms). */
     private static final double HOLD = 500;
-    /** Part of the aim after which an unanswered set-up casts suspicion, and a safe one is tried elsewhere. */
+    /** Part of the aim after which an unanswered set-up is suspicious, and a safe one tried elsewhere. */
     private static final double PATIENCE = 0.45;
     /** Trust left after a failed set-up, and the part of the missing trust a success restores. */
     private static final double DISTRUST = 0.5, RETRUST = 0.3;
@@ -55,7 +55,7 @@
         Front.Entry entry;
         boolean running;
         double since, backAt = Double.NEGATIVE_INFINITY, lastPaced = Double.NEGATIVE_INFINITY;
-        double suspectUntil = Double.NEGATIVE_INFINITY, trust = 1, shortAt = Double.NEGATIVE_INFINITY, lastShare = 1;
+        double suspectUntil = Double.NEGATIVE_INFINITY, shortAt = Double.NEGATIVE_INFINITY, trust = 1;
         int strikes;
         boolean lost, proven;
 
@@ -193,7 +193,7 @@
         size();
     }
 
-    /** Sets link and uplink sizes from what is told; a machine's size is its weight or, untold, its places. */
+    /** Sets link and uplink sizes as told; a machine's size is its weight or, untold, its places. */
     private void size() {
         Front.Fleet f = set.fleet();
         boolean weighed = f.weightKind().equals("nominal") || f.weightKind().equals("rough");
@@ -240,11 +240,11 @@
     }
 
     /**
-     * Fail-back: to a server known to have started within the warm-up (told, or witnessed as lost and back) the
-     * fronts take turns by the clock, so that all of them together stay within its places over its warm-up
-     * times its warmth. An instance that is itself new cannot know what restarted behind its stale list: until
-     * told anew it spaces its sends to a server by its own part of what the rule allows. A server that holds
-     * sessions handed over is known to have run. Either may delay a set-up that a warm server would have taken.
+     * Fail-back: to a server known to have started within the warm-up (told, or witnessed as lost and back)
+     * the fronts take turns by the clock, so that all together stay within its places over its warm-up times
+     * its warmth. An instance that is itself new cannot know what restarted behind its stale list: until told
+     * anew it spaces its sends to a server by its own part of what the rule allows; one with sessions handed
+     * over is known to have run. Either may keep a set-up from a server that was warm after all.
      */
     private boolean coldTurn(Server s) {
         Front.Rules r = set.rules();
@@ -266,16 +266,17 @@
     }
 
     private double rate(Session s, int rung) {
-        return set.ladder().kb()[rung] * set.classes().get(s.cls).rateFactor();
+        return set.ladder().kb()[rung] * terms(s).rateFactor();
     }
 
     /** What a session adds to its server at a rung; viewers of one live title there may share a stream. */
     private double adds(Session s, Server at, int rung) {
         double rate = rate(s, rung);
-        if (!set.classes().get(s.cls).live() || set.ladder().joinAdds() >= 1) return rate;
+        if (!terms(s).live() || set.ladder().joinAdds() >= 1) return rate;
         for (Session o : at.held.values()) {
             if (o == s) break;
-            if (o.cls == s.cls && o.rung == rung && o.ask.title() == s.ask.title()) return rate * set.ladder().joinAdds();
+            boolean same = o.cls == s.cls && o.rung == rung && o.ask.title() == s.ask.title();
+            if (same) return rate * set.ladder().joinAdds();
         }
         return rate;
     }
@@ -349,11 +350,10 @@
 
     /**
      * A short-share note tells of about see ago: the budget is cut to what was delivered of the most asked
-     * then, so that the same shortage heard again cuts no deeper. Where most servers of the rack with sessions
-     * of ours are short together it is the uplink, otherwise the link.
+     * then, so that the same shortage heard again cuts no deeper. Where most servers of the rack with
+     * sessions of ours are short together it is the uplink, otherwise the link.
      */
     private void shortShare(Server at, double share) {
-        at.lastShare = share;
         if (share >= 0.98) return;
         at.shortAt = now;
         int held = 0, low = 0;
@@ -395,7 +395,7 @@
         if (!at.running || !holds(at, s.ask) || !coldTurn(at) || s.tried.contains(at)) return false;
         if (now < at.suspectUntil) return false;
         if (at.strikes > 0) {
-            if (set.classes().get(s.cls).effect() == Front.Effect.SIDE_EFFECT) return false;
+            if (terms(s).effect() == Front.Effect.SIDE_EFFECT) return false;
             for (Session o : at.held.values()) if (o.out) return false;
         }
         if (at.held.size() >= places(at)) return false;
@@ -419,6 +419,10 @@
 
     // ---- admission ----
 
+    private Front.Terms terms(Session s) {
+        return set.classes().get(s.cls);
+    }
+
     private int classOf(String name) {
         for (int i = 0; i < set.classes().size(); i++) if (set.classes().get(i).name().equals(name)) return i;
         return -1;
@@ -437,7 +441,7 @@
     }
 
     private int top(Session s) {
-        Front.Terms c = set.classes().get(s.cls);
+        Front.Terms c = terms(s);
         return Math.max(c.floor(), Math.min(Math.min(s.ask.top(), c.top()), set.ladder().kb().length - 1));
     }
 
@@ -446,14 +450,23 @@
     }
 
     /**
-     * Time (s) over which a change of rung pays: the mean time that a rung stood so far, until a switch or the
-     * end. Guards against flapping: the more often rungs were changed, the more a change must gain. It holds
-     * for on-off links as for waves of viewers; after a stormy start it may keep upgrades back for a while.
+     * Time (s) over which a change of rung pays: the mean time that a rung stood so far, until a switch or
+     * the end. Guards against flapping: the more often rungs were changed, the more a change must gain. It
+     * holds for on-off links as for waves of viewers; a stormy start may keep upgrades back for a while.
      */
     private double stay() {
+        return (played() + PERIOD) / (ended + switches + 1) / 1000;
+    }
+
+    /** Expected length (s) of a session, over which an admission pays: time played for each that ended. */
+    private double life() {
+        return (played() + PERIOD) / (ended + 1) / 1000;
+    }
+
+    private double played() {
         double sum = watched;
         for (Session s : sessions.values()) if (s.playing) sum += now - s.startedAt;
-        return sum / (ended + switches + 1) / 1000;
+        return sum;
     }
 
     private double reserve() {
@@ -468,7 +481,7 @@
         }
         List<Server> all = candidates(s);
         for (Freed f : List.copyOf(freeList)) {
-            if (f.cls != s.cls || !all.contains(f.at) || f.at.link.room() < 0 || rack(f.at).room() < 0) continue;
+            if (f.cls != s.cls || !all.contains(f.at) || room(f.at) < 0) continue;
             freeList.remove(f);
             recount(f.at);
             int rung = fitting(s, f.at, 0);
@@ -484,18 +497,18 @@
 
     /** The highest rung that the free room allows, or -1. */
     private int fitting(Session s, Server at, double reserve) {
-        for (int r = top(s); r >= set.classes().get(s.cls).floor(); r--) {
+        for (int r = top(s); r >= terms(s).floor(); r--) {
             if (rate(s, r) <= room(at) - reserve) return r;
         }
         return -1;
     }
 
-    /** Starts at the lowest rung from the reserve, or from room that others give up for less than it gains. */
+    /** Starts at the lowest rung from the reserve, or from room others give up for less than it gains. */
     private boolean squeeze(Session s, Server at) {
-        int rung = set.classes().get(s.cls).floor();
+        int rung = terms(s).floor();
         double stay = stay();
         if (rate(s, rung) > room(at)) {
-            List<Session> give = givers(at, rate(s, rung), payoff(s, rung) * stay, stay);
+            List<Session> give = givers(at, rate(s, rung), payoff(s, rung) * life(), stay);
             if (give == null) return false;
             give.forEach(o -> setRung(o, o.rung - 1));
         }
@@ -511,7 +524,7 @@
 
     private void giveUp(Session s) {
         sessions.remove(s.ask.req());
-        Front.Terms c = set.classes().get(s.cls);
+        Front.Terms c = terms(s);
         boolean mayRefuse = !s.mayHaveRun || c.effect() == Front.Effect.PURE
             || (c.effect() == Front.Effect.TOKEN && c.group().equals("all"));
         if (!mayRefuse) out.add(new Front.Fail(s.ask.req()));
@@ -521,7 +534,7 @@
 
     // ---- degrade ----
 
-    /** Sessions whose one-step drops free {@code need} at a server for less payoff than {@code gain}, or null. */
+    /** Sessions whose one-step drops free {@code need} for less payoff than {@code gain}, or null. */
     private List<Session> givers(Server at, double need, double gain, double stay) {
         List<Session> give = new ArrayList<>();
         double linkNeed = need - at.link.room(), rackNeed = need - rack(at).room(), lost = 0;
@@ -531,7 +544,7 @@
             for (Server o : servers.values()) {
                 if (o != at && (linkNeed > 0 || rack(o) != rack(at))) continue;
                 for (Session g : o.held.values()) {
-                    if (!g.playing || g.rung <= set.classes().get(g.cls).floor() || give.contains(g)) continue;
+                    if (!mayDrop(g) || give.contains(g)) continue;
                     double price = loss(g, stay) / (rate(g, g.rung) - rate(g, g.rung - 1));
                     if (price < bestPrice) {
                         bestPrice = price;
@@ -550,6 +563,10 @@
         return give;
     }
 
+    private boolean mayDrop(Session g) {
+        return g.playing && g.rung > terms(g).floor();
+    }
+
     private double loss(Session g, double stay) {
         return (payoff(g, g.rung) - payoff(g, g.rung - 1)) * stay + set.ladder().switchS() * g.weight;
     }
@@ -561,7 +578,7 @@
             if (give == null) {
                 Session any = null;
                 for (Session g : at.held.values()) {
-                    if (g.playing && g.rung > set.classes().get(g.cls).floor()) any = g;
+                    if (mayDrop(g)) any = g;
                 }
                 if (any == null) return;
                 give = List.of(any);
@@ -587,7 +604,7 @@
     /** Best packing of one server for every budget up to a limit: value and each session's rung. */
     private record Packing(List<Session> sessions, double[] value, int[][] rung) { }
 
-    /** OptCycle: a knapsack over each server's sessions within its link, then over servers within the uplink. */
+    /** OptCycle: a knapsack over each server's sessions within its link, then over the rack's servers. */
     private void optCycle(Pipe r) {
         double unit = Math.max(1, r.budget) / UNITS;
         List<Packing> packs = new ArrayList<>();
@@ -623,7 +640,9 @@
         }
         if (best[free] == Double.NEGATIVE_INFINITY) return;
         Map<Session, Integer> plan = new LinkedHashMap<>();
-        for (int k = packs.size() - 1, g = free; k >= 0; g -= split[k--][g]) assign(packs.get(k), split[k][g], plan);
+        for (int k = packs.size() - 1, g = free; k >= 0; g -= split[k--][g]) {
+            assign(packs.get(k), split[k][g], plan);
+        }
         plan.forEach((s, rung) -> {
             if (rung < s.rung) setRung(s, rung);
         });
@@ -641,7 +660,7 @@
             Session s = play.get(i);
             double[] next = new double[size + 1];
             Arrays.fill(next, Double.NEGATIVE_INFINITY);
-            for (int r = set.classes().get(s.cls).floor(); r <= top(s); r++) {
+            for (int r = terms(s).floor(); r <= top(s); r++) {
                 int cost = (int) Math.ceil(rate(s, r) / unit);
                 double worth = payoff(s, r) * stay - (r == s.rung ? 0 : set.ladder().switchS() * s.weight);
                 for (int g = cost; g <= size; g++) {
@@ -668,7 +687,7 @@
     // ---- attempts and deadlines ----
 
     private boolean seatFree(Session s) {
-        int seats = set.classes().get(s.cls).seats(), held = 0;
+        int seats = terms(s).seats(), held = 0;
         if (seats <= 0) return true;
         for (Session o : sessions.values()) {
             if (o != s && o.cls == s.cls && o.ask.title() == s.ask.title() && o.at != null) held++;
@@ -678,7 +697,7 @@
 
     /** The one gate of every attempt: all rules are checked here. */
     private boolean send(Session s, Server at, int rung) {
-        Front.Terms c = set.classes().get(s.cls);
+        Front.Terms c = terms(s);
         Front.Rules r = set.rules();
         if (s.out || s.playing || now >= s.deadline || s.shot + 1 >= r.sendCap()) return false;
         if (!at.running || !holds(at, s.ask) || !coldTurn(at) || !seatFree(s)) return false;
@@ -696,7 +715,8 @@
         setRung(s, rung);
         boolean once = c.effect() != Front.Effect.PURE || s.shot + 1 >= r.sendCap();
         double patience = PATIENCE * Math.min(c.aim(), s.ask.ttl());
-        out.add(new Front.Transmit(s.ask.req(), at.id, once ? s.deadline : Math.min(s.deadline, now + patience)));
+        double until = once ? s.deadline : Math.min(s.deadline, now + patience);
+        out.add(new Front.Transmit(s.ask.req(), at.id, until));
         out.add(new Front.Sleep(patience, "wait:" + s.ask.req() + ":" + s.shot));
         return true;
     }
@@ -724,7 +744,7 @@
 
     /** The one way to set a rung: never under the class's floor nor above what viewer and class can use. */
     private void setRung(Session s, int rung) {
-        int to = Math.max(set.classes().get(s.cls).floor(), Math.min(top(s), rung));
+        int to = Math.max(terms(s).floor(), Math.min(top(s), rung));
         if (to == s.rung) return;
         s.rung = to;
         if (s.playing) switches++;
--- /dev/null
+++ b/src/test/java/trestleline/DesignTest.java
@@ -0,0 +1,104 @@
+package trestleline;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** The mechanism on the ordinary path. */
+class DesignTest {
+    private static int rungOf(List<Front.Action> actions, long req) {
+        return Scene.only(actions, Front.Rate.class).stream().filter(r -> r.req() == req)
+            .mapToInt(Front.Rate::rung).reduce((a, b) -> b).orElse(-1);
+    }
+
+    private static Scene full(int viewers) {
+        Scene w = Scene.of();
+        w.start("a");
+        for (int i = 1; i <= viewers; i++) {
+            String at = Scene.sentTo(w.request(i, "safe"));
+            w.later(100);
+            if (at != null) w.first(i, at);
+        }
+        return w;
+    }
+
+    @Test
+    void aNewcomerTakesTheTopRungThatFits() {
+        Scene w = Scene.of();
+        w.start("a");
+        assertEquals(4, rungOf(w.request(1, "safe"), 1));
+        assertEquals(2, rungOf(w.feed(new Front.NewRequest(Scene.ask(2, "safe", 2))), 2));
+    }
+
+    @Test
+    void underPressurePlayingSessionsGiveWayAndRoomComesBackToThem() {
+        Scene w = full(12);
+        w.later(20000);
+        assertNotNull(Scene.sentTo(w.request(20, "paid")));
+        assertTrue(Scene.only(w.log, Front.Rate.class).size() > 13, "some playing session was stepped down");
+        for (int i = 1; i <= 8; i++) w.later(10).result(i, 0, "a", "Ok", true);
+        w.log.clear();
+        w.later(5000).feed(new Front.Due("pack"));
+        assertTrue(Scene.only(w.log, Front.Rate.class).stream().anyMatch(r -> r.rung() > 1));
+    }
+
+    @Test
+    void aShortShareNoteCutsToWhatWasDelivered() {
+        Scene w = full(5);
+        w.later(4000);
+        w.log.clear();
+        w.note(1, "a", 1, 0.6);
+        double kb = Scene.only(w.log, Front.Rate.class).size();
+        assertTrue(kb >= 2, "sessions were stepped down at once");
+        w.log.clear();
+        w.later(500).note(1, "a", 1, 0.6);
+        assertEquals(List.of(), Scene.only(w.log, Front.Rate.class), "the same shortage cuts once");
+    }
+
+    @Test
+    void whenNothingFitsTheAnswerIsARefusalAtOnce() {
+        Scene w = full(60);
+        assertTrue(Scene.only(w.log, Front.NotNow.class).size() > 10);
+        assertEquals(60, Scene.only(w.log, Front.NotNow.class).size()
+            + Scene.only(w.log, Front.Transmit.class).size());
+    }
+
+    @Test
+    void theEmptierRackIsPicked() {
+        Scene w = Scene.of();
+        w.racks = 3;
+        w.rackKb = 12000;
+        w.start("a", "b", "c");
+        String one = Scene.sentTo(w.request(1, "safe"));
+        String two = Scene.sentTo(w.request(2, "safe"));
+        String three = Scene.sentTo(w.request(3, "safe"));
+        assertEquals(3, List.of(one, two, three).stream().distinct().count());
+    }
+
+    @Test
+    void aSafeTimeOutIsTriedElsewhereWithinTheAim() {
+        Scene w = Scene.of();
+        w.start("a", "b", "c");
+        List<Front.Action> sent = w.request(1, "safe");
+        Front.Transmit t = Scene.only(sent, Front.Transmit.class).get(0);
+        assertTrue(t.expireAt() < w.now + w.aim / 2);
+        w.later(t.expireAt() - w.now);
+        assertNotNull(Scene.sentTo(w.result(1, 0, t.host(), "TimedOut", false)));
+        for (int i = 2; i < 8; i++) assertTrue(!t.host().equals(Scene.sentTo(w.request(i, "safe"))));
+    }
+
+    @Test
+    void listedTitlesGoToTheirHoldersOnly() {
+        Scene w = Scene.of();
+        w.start("a", "b", "c");
+        Front.Ask one = new Front.Ask(1, "safe", "", 1, 5, 4000, Double.NaN, 2, 1, 4, 0);
+        assertEquals("c", Scene.sentTo(w.feed(new Front.NewRequest(one))));
+        w.list("patch", Scene.entry("c", "Deleted", 0, 2));
+        Front.Ask two = new Front.Ask(2, "safe", "", 2, 5, 4000, Double.NaN, 2, 1, 4, 0);
+        assertNull(Scene.sentTo(w.feed(new Front.NewRequest(two))));
+    }
+}
--- /dev/null
+++ b/src/test/java/trestleline/Scene.java
@@ -0,0 +1,97 @@
+package trestleline;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** A hand-written world for tests of the module alone: settings, events and the actions that came back. */
+final class Scene {
+    static final double[] LADDER = {250, 500, 800, 1400, 2400};
+    int fronts = 1, me = 0, racks = 1, places = 3, slots = 30, sendCap = 5, seats = 0;
+    double linkKb = 12000, rackKb = 36000, cold = 10000, toldEvery = 0, extraWindow = 0, freeResends = 0;
+    double extraShare = 0, joinAdds = 1, aim = 1000, overShareWorth = 0.1, quota = 0, probePrice = 0.01;
+    double movesPrice = 0.2;
+    boolean onRequest, probes;
+    String group = "all", weightKind = "silent";
+    List<String> reports = List.of();
+    Decide front;
+    double now = 1_000_000;
+    final List<Front.Action> log = new ArrayList<>();
+
+    static Scene of() {
+        return new Scene();
+    }
+
+    Front.Settings settings() {
+        var paid = new Front.Terms("paid", 1500, 0, 4000, Front.Effect.SIDE_EFFECT, "all", 5000, 2, 1, 4, 1, seats, false);
+        var safe = new Front.Terms("safe", aim, 0, 4000, Front.Effect.PURE, "all", 5000, 1, 0, 4, 1, 0, true);
+        var token = new Front.Terms("token", aim, 0, 4000, Front.Effect.TOKEN, group, 2000, 1, 0, 4, 1, 0, false);
+        List<Front.Account> accounts = quota > 0
+            ? List.of(new Front.Account("a", quota, 0.5), new Front.Account("b", quota, 0.5)) : List.of();
+        return new Front.Settings(me, fronts, "z1", 10, onRequest, 1000, toldEvery, reports,
+            probes ? "pull" : reports.isEmpty() ? "silent" : "piggyback", List.of(paid, safe, token), accounts,
+            overShareWorth, new Front.Ladder(LADDER, new double[] {0.2, 0.45, 0.64, 0.82, 1}, 0.5, 8, joinAdds),
+            new Front.Fleet(places, racks, linkKb * places, rackKb, linkKb, List.of("k"), new int[] {slots}, 0,
+                weightKind),
+            new Front.Rules(40, 10000, freeResends, extraShare, extraWindow, 0.4, cold, 250, 2, 2000, sendCap, true,
+                probes, true, 2000, 250),
+            new Front.Prices(0.01, probePrice, movesPrice, 0.05, 0));
+    }
+
+    Scene start(String... hosts) {
+        front = new Decide(settings(), 7, now);
+        Front.Entry[] all = new Front.Entry[hosts.length];
+        for (int i = 0; i < hosts.length; i++) all[i] = entry(hosts[i], "Running", 0, i);
+        list("stale_copy", all);
+        list("whole", all);
+        return this;
+    }
+
+    static Front.Entry entry(String host, String status, double since, int slot) {
+        return new Front.Entry(host, status, "k", since, "z1", 1, slot);
+    }
+
+    List<Front.Action> list(String mode, Front.Entry... entries) {
+        return feed(new Front.Update(mode, List.of(entries), 1));
+    }
+
+    List<Front.Action> feed(Front.Event e) {
+        List<Front.Action> got = front.on(now, e);
+        log.addAll(got);
+        return got;
+    }
+
+    Scene later(double ms) {
+        now += ms;
+        return this;
+    }
+
+    static Front.Ask ask(long req, String service, int top) {
+        return new Front.Ask(req, service, "", req, 77, 4000, Double.NaN, 0, 3, top, 0);
+    }
+
+    List<Front.Action> request(long req, String service) {
+        return feed(new Front.NewRequest(ask(req, service, 4)));
+    }
+
+    List<Front.Action> first(long req, String host) {
+        return feed(new Front.HeadReceived(req, 0, host, 80));
+    }
+
+    List<Front.Action> result(long req, int shot, String host, String code, boolean over) {
+        return feed(new Front.Result(req, shot, host, 80, over, code, Map.of()));
+    }
+
+    List<Front.Action> note(long req, String host, int sort, double value) {
+        return feed(new Front.Note(req, 0, host, sort, value));
+    }
+
+    static <T> List<T> only(List<Front.Action> actions, Class<T> kind) {
+        return actions.stream().filter(kind::isInstance).map(kind::cast).toList();
+    }
+
+    static String sentTo(List<Front.Action> actions) {
+        List<Front.Transmit> sent = only(actions, Front.Transmit.class);
+        return sent.isEmpty() ? null : sent.get(0).host();
+    }
+}
