--- a/src/main/java/trestleline/Decide.java
+++ b/src/main/java/trestleline/Decide.java
@@ -34,6 +34,10 @@
     private static final double HOLD = 500;
     /** Part of the aim after which an unanswered set-up is suspicious, and a safe one tried elsewhere. */
     private static final double PATIENCE = 0.45;
+    /** A tenant may take its quota of so long (ms) at once before more counts as beyond its share. */
+    private static final double BURST = 5000;
+    /** Viewers whose standing in their tenant's share is remembered, so that a return is not counted twice. */
+    private static final int KEYS = 4096;
     /** Trust left after a failed set-up, and the part of the missing trust a success restores. */
     private static final double DISTRUST = 0.5, RETRUST = 0.3;
 
@@ -93,6 +97,8 @@
     private final Map<Long, Session> sessions = new LinkedHashMap<>();
     private final Pipe[] racks;
     private final double[] cellLink;
+    private final Map<String, double[]> buckets = new HashMap<>();
+    private final Map<Long, Double> known = new LinkedHashMap<>();
     private final List<Freed> freeList = new ArrayList<>();
     private final ArrayDeque<Double> taken = new ArrayDeque<>(), further = new ArrayDeque<>();
     private List<Front.Action> out = new ArrayList<>();
@@ -435,11 +441,35 @@
             out.add(new Front.Fail(ask.req()));
             return;
         }
-        Session s = new Session(ask, cls, now, set.classes().get(cls).worth());
+        Session s = new Session(ask, cls, now, set.classes().get(cls).worth() * worthOf(ask));
         sessions.put(ask.req(), s);
         place(s);
     }
 
+    /**
+     * What a request counts of its class's worth: all within its tenant's share, overShareWorth beyond. Each
+     * front metes out its part of the quota by a bucket of a few seconds; a viewer that comes again keeps what
+     * it was given. Guards against one tenant's flood taking the room of others; it may undervalue a tenant
+     * whose viewers lean towards this front.
+     */
+    private double worthOf(Front.Ask ask) {
+        for (Front.Account a : set.accounts()) {
+            if (!a.name().equals(ask.tenant()) || a.quotaPerS() <= 0) continue;
+            Double before = known.get(ask.key());
+            if (before != null) return before;
+            double part = a.quotaPerS() / set.fronts() / 1000;
+            double[] b = buckets.computeIfAbsent(a.name(), n -> new double[] {Math.max(1, part * BURST), now});
+            b[0] = Math.min(Math.max(1, part * BURST), b[0] + part * (now - b[1]));
+            b[1] = now;
+            double worth = b[0] >= 1 ? 1 : set.overShareWorth();
+            if (worth == 1) b[0]--;
+            known.put(ask.key(), worth);
+            if (known.size() > KEYS) known.remove(known.keySet().iterator().next());
+            return worth;
+        }
+        return 1;
+    }
+
     private int top(Session s) {
         Front.Terms c = terms(s);
         return Math.max(c.floor(), Math.min(Math.min(s.ask.top(), c.top()), set.ladder().kb().length - 1));
