--- a/src/main/java/trestleline/Decide.java
+++ b/src/main/java/trestleline/Decide.java
@@ -35,7 +35,9 @@
     /** Part of the aim after which an unanswered set-up is suspicious, and a safe one tried elsewhere. */
     private static final double PATIENCE = 0.45;
     /** A tenant may take its quota of so long (ms) at once before more counts as beyond its share. */
-    private static final double BURST = 5000;
+    private static final double BURST = 10000;
+    /** What one front may see of a tenant over an even part: viewers lean, and undervaluing costs more. */
+    private static final double LEAN = 1.5;
     /** Viewers whose standing in their tenant's share is remembered, so that a return is not counted twice. */
     private static final int KEYS = 4096;
     /** Trust left after a failed set-up, and the part of the missing trust a success restores. */
@@ -457,7 +459,7 @@
             if (!a.name().equals(ask.tenant()) || a.quotaPerS() <= 0) continue;
             Double before = known.get(ask.key());
             if (before != null) return before;
-            double part = a.quotaPerS() / set.fronts() / 1000;
+            double part = LEAN * a.quotaPerS() / set.fronts() / 1000;
             double[] b = buckets.computeIfAbsent(a.name(), n -> new double[] {Math.max(1, part * BURST), now});
             b[0] = Math.min(Math.max(1, part * BURST), b[0] + part * (now - b[1]));
             b[1] = now;
@@ -593,7 +595,7 @@
     }
 
     private double loss(Session g, double stay) {
-        return (payoff(g, g.rung) - payoff(g, g.rung - 1)) * stay + set.ladder().switchS() * g.weight;
+        return (payoff(g, g.rung) - payoff(g, g.rung - 1)) * stay + set.ladder().switchS() * terms(g).worth();
     }
 
     /** Greedy drops until the server and its rack are within their budgets again. */
@@ -687,7 +689,7 @@
             Arrays.fill(next, Double.NEGATIVE_INFINITY);
             for (int r = terms(s).floor(); r <= top(s); r++) {
                 int cost = (int) Math.ceil(rate(s, r) / unit);
-                double worth = payoff(s, r) * stay - (r == s.rung ? 0 : set.ladder().switchS() * s.weight);
+                double worth = payoff(s, r) * stay - (r == s.rung ? 0 : set.ladder().switchS() * terms(s).worth());
                 for (int g = cost; g <= size; g++) {
                     if (value[g - cost] + worth > next[g]) {
                         next[g] = value[g - cost] + worth;
