--- a/src/main/java/trestleline/Decide.java
+++ b/src/main/java/trestleline/Decide.java
@@ -40,6 +40,8 @@
     private static final double LEAN = 1.5;
     /** Viewers whose standing in their tenant's share is remembered, so that a return is not counted twice. */
     private static final int KEYS = 4096;
+    /** The highest price of a probe for each session that a reading of a pipe is held to be worth. */
+    private static final double PROBE_PRICE = 0.02;
     /** Trust left after a failed set-up, and the part of the missing trust a success restores. */
     private static final double DISTRUST = 0.5, RETRUST = 0.3;
 
@@ -61,7 +63,7 @@
         Front.Entry entry;
         boolean running;
         double since, backAt = Double.NEGATIVE_INFINITY, lastPaced = Double.NEGATIVE_INFINITY;
-        double suspectUntil = Double.NEGATIVE_INFINITY, shortAt = Double.NEGATIVE_INFINITY, trust = 1;
+        double suspectUntil = Double.NEGATIVE_INFINITY, shortAt = Double.NEGATIVE_INFINITY, readAt, trust = 1;
         int strikes;
         boolean lost, proven;
 
@@ -446,6 +448,7 @@
         Session s = new Session(ask, cls, now, set.classes().get(cls).worth() * worthOf(ask));
         sessions.put(ask.req(), s);
         place(s);
+        probe();
     }
 
     /**
@@ -889,6 +892,21 @@
         at.lost |= at.strikes > 1;
     }
 
+    /**
+     * Where load is told by probes only, each request taken pays for one: the server with the oldest reading
+     * among those that carry sessions of ours or may soon. Costs one probe a session at the most.
+     */
+    private void probe() {
+        if (!set.rules().probes() || !set.reportVia().equals("pull") || set.prices().probe() > PROBE_PRICE) return;
+        Server oldest = null;
+        for (Server s : servers.values()) {
+            if (s.running && now >= s.suspectUntil && (oldest == null || s.readAt < oldest.readAt)) oldest = s;
+        }
+        if (oldest == null) return;
+        oldest.readAt = now;
+        out.add(new Front.Check(oldest.id));
+    }
+
     private void onProbe(Front.StatusBack e) {
         Server s = servers.get(e.host());
         if (s != null && e.code().equals("Ok")) report(s, e.report());
