--- a/src/main/java/trestleline/Decide.java
+++ b/src/main/java/trestleline/Decide.java
@@ -24,6 +24,8 @@
     private static final double LUMP = 1.3;
     /** After a short-share note own use is cut to this part of what was delivered. */
     private static final double CUT = 0.97;
+    /** Part of a told use that moves the budget: readings are noisy, and each swing costs two switches. */
+    private static final double SMOOTH = 0.3;
     /** Regained budget a second after shortage, as a part of the even share (the additive part of AIMD). */
     private static final double REGAIN = 0.01;
     /** Re-pack period (ms): the document's, a few adaptation operations. */
@@ -328,8 +330,9 @@
     private void use(Pipe p, double x, double lag) {
         double then = ownSince(p, now - lag, now - lag);
         double even = AIM * p.cap / set.fronts();
-        p.budget = x < AIM ? then + (AIM - x) * p.cap / set.fronts() : then * AIM / x;
-        if (x < 1) p.budget = Math.max(p.budget, 0.5 * even);
+        double told = x < AIM ? then + (AIM - x) * p.cap / set.fronts() : then * AIM / x;
+        if (x < 1) told = Math.max(told, 0.5 * even);
+        p.budget += SMOOTH * (told - p.budget);
         p.noted = true;
     }
 
