--- a/src/main/java/trestleline/Decide.java
+++ b/src/main/java/trestleline/Decide.java
@@ -25,7 +25,7 @@
     /** After a short-share note own use is cut to this part of what was delivered. */
     private static final double CUT = 0.97;
     /** Part of a told use that moves the budget: readings are noisy, and each swing costs two switches. */
-    private static final double SMOOTH = 0.3;
+    private static final double SMOOTH = 0.2;
     /** Regained budget a second after shortage, as a part of the even share (the additive part of AIMD). */
     private static final double REGAIN = 0.01;
     /** Re-pack period (ms): the document's, a few adaptation operations. */
