--- a/src/main/java/trestleline/Decide.java
+++ b/src/main/java/trestleline/Decide.java
@@ -26,6 +26,8 @@
     private static final double CUT = 0.97;
     /** Part of a told use that moves the budget: readings are noisy, and each swing costs two switches. */
     private static final double SMOOTH = 0.2;
+    /** Switches that one change is charged for: most are undone later. */
+    private static final double BACK = 2;
     /** Regained budget a second after shortage, as a part of the even share (the additive part of AIMD). */
     private static final double REGAIN = 0.01;
     /** Re-pack period (ms): the document's, a few adaptation operations. */
@@ -600,8 +602,13 @@
         return g.playing && g.rung > terms(g).floor();
     }
 
+    /** A switch costs the class's worth for switchS, and mostly buys the way back as well. */
+    private double switchCost(Session s) {
+        return BACK * set.ladder().switchS() * terms(s).worth();
+    }
+
     private double loss(Session g, double stay) {
-        return (payoff(g, g.rung) - payoff(g, g.rung - 1)) * stay + set.ladder().switchS() * terms(g).worth();
+        return (payoff(g, g.rung) - payoff(g, g.rung - 1)) * stay + switchCost(g);
     }
 
     /** Greedy drops until the server and its rack are within their budgets again. */
@@ -695,7 +702,7 @@
             Arrays.fill(next, Double.NEGATIVE_INFINITY);
             for (int r = terms(s).floor(); r <= top(s); r++) {
                 int cost = (int) Math.ceil(rate(s, r) / unit);
-                double worth = payoff(s, r) * stay - (r == s.rung ? 0 : set.ladder().switchS() * terms(s).worth());
+                double worth = payoff(s, r) * stay - (r == s.rung ? 0 : switchCost(s));
                 for (int g = cost; g <= size; g++) {
                     if (value[g - cost] + worth > next[g]) {
                         next[g] = value[g - cost] + worth;
