--- a/src/main/java/trestleline/Decide.java
+++ b/src/main/java/trestleline/Decide.java
@@ -29,7 +29,7 @@
     /** Switches that one change is charged for: most are undone later. */
     private static final double BACK = 4;
     /** Regained budget a second after shortage, as a part of the even share (the additive part of AIMD). */
-    private static final double REGAIN = 0.01;
+    private static final double REGAIN = 0.02;
     /** Re-pack period (ms): the document's, a few adaptation operations. */
     private static final double PERIOD = 4000;
     /** Steps in which a rack's budget is packed. */
@@ -392,7 +392,8 @@
     private void regain(Pipe p) {
         if (p.noted && p.budget >= p.fair) return;
         if (now - p.shortAt < set.see() + 1000) return;
-        p.budget = Math.min(Math.max(p.fair, p.budget), p.budget + REGAIN * p.fair * PERIOD / 1000);
+        if (p.room() > 0.1 * p.budget && p.budget >= p.fair) return;
+        p.budget = Math.min(2 * p.fair, p.budget + (p.budget < p.fair ? 1 : 0.5) * REGAIN * p.fair * PERIOD / 1000);
     }
 
     private double room(Server s) {
