--- a/src/main/java/trestleline/Decide.java
+++ b/src/main/java/trestleline/Decide.java
@@ -162,12 +162,17 @@
         started = true;
         if (set.onRequest()) subscribe();
         out.add(new Front.Sleep(PERIOD * (0.5 + 0.5 * random.nextDouble()), "pack"));
+        boolean pull = set.rules().probes() && set.reportVia().equals("pull");
+        if (pull && set.prices().probe() <= PROBE_PRICE) out.add(new Front.Sleep(set.see(), "probe"));
     }
 
     private void onDue(String tag) {
         if (tag.equals("pack")) {
             periodicCheck();
             out.add(new Front.Sleep(PERIOD, "pack"));
+        } else if (tag.equals("probe")) {
+            probe();
+            out.add(new Front.Sleep(set.see(), "probe"));
         } else if (tag.startsWith("wait:")) {
             String[] part = tag.split(":");
             Session s = sessions.get(Long.parseLong(part[1]));
@@ -454,7 +459,6 @@
         Session s = new Session(ask, cls, now, set.classes().get(cls).worth() * worthOf(ask));
         sessions.put(ask.req(), s);
         place(s);
-        probe();
     }
 
     /**
@@ -903,12 +907,8 @@
         at.lost |= at.strikes > 1;
     }
 
-    /**
-     * Where load is told by probes only, each request taken pays for one: the server with the oldest reading
-     * among those that carry sessions of ours or may soon. Costs one probe a session at the most.
-     */
+    /** Where load is told by probes only, the server longest unread is probed once every see. */
     private void probe() {
-        if (!set.rules().probes() || !set.reportVia().equals("pull") || set.prices().probe() > PROBE_PRICE) return;
         Server oldest = null;
         for (Server s : servers.values()) {
             if (s.running && now >= s.suspectUntil && (oldest == null || s.readAt < oldest.readAt)) oldest = s;
