--- a/src/main/java/trestleline/Decide.java
+++ b/src/main/java/trestleline/Decide.java
@@ -163,7 +163,7 @@
         if (set.onRequest()) subscribe();
         out.add(new Front.Sleep(PERIOD * (0.5 + 0.5 * random.nextDouble()), "pack"));
         boolean pull = set.rules().probes() && set.reportVia().equals("pull");
-        if (pull && set.prices().probe() <= PROBE_PRICE) out.add(new Front.Sleep(set.see(), "probe"));
+        if (pull && set.prices().probe() <= PROBE_PRICE) out.add(new Front.Sleep(set.see() / 3, "probe"));
     }
 
     private void onDue(String tag) {
@@ -172,7 +172,7 @@
             out.add(new Front.Sleep(PERIOD, "pack"));
         } else if (tag.equals("probe")) {
             probe();
-            out.add(new Front.Sleep(set.see(), "probe"));
+            out.add(new Front.Sleep(set.see() / 3, "probe"));
         } else if (tag.startsWith("wait:")) {
             String[] part = tag.split(":");
             Session s = sessions.get(Long.parseLong(part[1]));
