--- a/src/main/java/trestleline/Decide.java
+++ b/src/main/java/trestleline/Decide.java
@@ -333,9 +333,20 @@
         return Math.max(most, p.own);
     }
 
-    /** A note of use (asked over given): own use then, plus this front's part of the room left. */
+    /** The least this front asked of a pipe since a time past. */
+    private double ownLeast(Pipe p, double from) {
+        double least = p.own;
+        for (double[] was : p.past) if (was[0] >= from) least = Math.min(least, was[1]);
+        return least;
+    }
+
+    /**
+     * A note of use (asked over given): own use then, plus this front's part of the room left. While own rates
+     * are in flux a late reading is taken the careful way: room is added to the least asked since, and excess
+     * is taken off the most.
+     */
     private void use(Pipe p, double x, double lag) {
-        double then = ownSince(p, now - lag, now - lag);
+        double then = x < AIM ? ownLeast(p, now - lag - set.see() / 2) : ownSince(p, now - lag, now);
         double even = AIM * p.cap / set.fronts();
         double told = x < AIM ? then + (AIM - x) * p.cap / set.fronts() : then * AIM / x;
         if (x < 1) told = Math.max(told, 0.5 * even);
@@ -548,8 +559,7 @@
         int rung = terms(s).floor();
         double stay = stay();
         if (rate(s, rung) > room(at)) {
-            double life = (played() + PERIOD) / (ended + 1) / 1000;
-            List<Session> give = givers(at, rate(s, rung), payoff(s, rung) * life, life);
+            List<Session> give = givers(at, rate(s, rung), payoff(s, rung) * stay, stay);
             if (give == null) return false;
             give.forEach(o -> setRung(o, o.rung - 1));
         }
