--- a/src/main/java/trestleline/Decide.java
+++ b/src/main/java/trestleline/Decide.java
@@ -42,7 +42,7 @@
     private static final double BURST = 10000;
     /** What one front may see of a tenant over an even part: viewers lean, and undervaluing costs more. */
     private static final double LEAN = 1.5;
-    /** Viewers whose standing in their tenant's share is remembered, so that a return is not counted twice. */
+    /** Viewers whose standing in their tenant's share is remembered, so that no return counts twice. */
     private static final int KEYS = 4096;
     /** The highest price of a probe for each session that a reading of a pipe is held to be worth. */
     private static final double PROBE_PRICE = 0.02;
@@ -333,20 +333,9 @@
         return Math.max(most, p.own);
     }
 
-    /** The least this front asked of a pipe since a time past. */
-    private double ownLeast(Pipe p, double from) {
-        double least = p.own;
-        for (double[] was : p.past) if (was[0] >= from) least = Math.min(least, was[1]);
-        return least;
-    }
-
-    /**
-     * A note of use (asked over given): own use then, plus this front's part of the room left. While own rates
-     * are in flux a late reading is taken the careful way: room is added to the least asked since, and excess
-     * is taken off the most.
-     */
+    /** A note of use (asked over given): own use then, plus this front's part of the room left. */
     private void use(Pipe p, double x, double lag) {
-        double then = x < AIM ? ownLeast(p, now - lag - set.see() / 2) : ownSince(p, now - lag, now);
+        double then = ownSince(p, now - lag, now - lag);
         double even = AIM * p.cap / set.fronts();
         double told = x < AIM ? then + (AIM - x) * p.cap / set.fronts() : then * AIM / x;
         if (x < 1) told = Math.max(told, 0.5 * even);
@@ -409,7 +398,8 @@
         if (p.noted && p.budget >= p.fair) return;
         if (now - p.shortAt < set.see() + 1000) return;
         if (p.room() > 0.1 * p.budget && p.budget >= p.fair) return;
-        p.budget = Math.min(2 * p.fair, p.budget + (p.budget < p.fair ? 1 : 0.5) * REGAIN * p.fair * PERIOD / 1000);
+        double step = REGAIN * p.fair * PERIOD / 1000;
+        p.budget = Math.min(2 * p.fair, p.budget + (p.budget < p.fair ? step : step / 2));
     }
 
     private double room(Server s) {
@@ -423,14 +413,17 @@
         return Math.floorMod(s.entry.slot() - ask.home(), cells) < ask.holders();
     }
 
+    /**
+     * May this session go there? A server that struck out or errs fast would look the emptiest: until it
+     * earns trust again it gets safe tries only, one at a time, and no paid set-up, which has one try.
+     */
     private boolean eligible(Session s, Server at) {
         if (!at.running || !holds(at, s.ask) || !coldTurn(at) || s.tried.contains(at)) return false;
-        if (now < at.suspectUntil) return false;
-        if (at.strikes > 0) {
+        if (now < at.suspectUntil || at.held.size() >= places(at)) return false;
+        if (at.strikes > 0 || at.trust < DISTRUST) {
             if (terms(s).effect() == Front.Effect.SIDE_EFFECT) return false;
             for (Session o : at.held.values()) if (o.out) return false;
         }
-        if (at.held.size() >= places(at)) return false;
         return true;
     }
 
@@ -474,9 +467,9 @@
 
     /**
      * What a request counts of its class's worth: all within its tenant's share, overShareWorth beyond. Each
-     * front metes out its part of the quota by a bucket of a few seconds; a viewer that comes again keeps what
-     * it was given. Guards against one tenant's flood taking the room of others; it may undervalue a tenant
-     * whose viewers lean towards this front.
+     * front metes out its part of the quota by a bucket of a few seconds; a viewer that comes again keeps
+     * what it was given. Guards against one tenant's flood taking the room of others; it may undervalue a
+     * tenant whose viewers lean towards this front.
      */
     private double worthOf(Front.Ask ask) {
         for (Front.Account a : set.accounts()) {
@@ -484,8 +477,9 @@
             Double before = known.get(ask.key());
             if (before != null) return before;
             double part = LEAN * a.quotaPerS() / set.fronts() / 1000;
-            double[] b = buckets.computeIfAbsent(a.name(), n -> new double[] {Math.max(1, part * BURST), now});
-            b[0] = Math.min(Math.max(1, part * BURST), b[0] + part * (now - b[1]));
+            double depth = Math.max(1, part * BURST);
+            double[] b = buckets.computeIfAbsent(a.name(), n -> new double[] {depth, now});
+            b[0] = Math.min(depth, b[0] + part * (now - b[1]));
             b[1] = now;
             double worth = b[0] >= 1 ? 1 : set.overShareWorth();
             if (worth == 1) b[0]--;
@@ -922,7 +916,8 @@
     private void probe() {
         Server oldest = null;
         for (Server s : servers.values()) {
-            if (s.running && now >= s.suspectUntil && (oldest == null || s.readAt < oldest.readAt)) oldest = s;
+            if (!s.running || now < s.suspectUntil) continue;
+            if (oldest == null || s.readAt < oldest.readAt) oldest = s;
         }
         if (oldest == null) return;
         oldest.readAt = now;
