--- a/src/main/java/trestleline/Decide.java
+++ b/src/main/java/trestleline/Decide.java
@@ -44,8 +44,8 @@
     private static final double LEAN = 1.5;
     /** Viewers whose standing in their tenant's share is remembered, so that no return counts twice. */
     private static final int KEYS = 4096;
-    /** The highest price of a probe for each session that a reading of a pipe is held to be worth. */
-    private static final double PROBE_PRICE = 0.02;
+    /** Points of the result spent on probes for each request taken: what readings of the pipes are worth. */
+    private static final double PROBE_SPEND = 0.006;
     /** Trust left after a failed set-up, and the part of the missing trust a success restores. */
     private static final double DISTRUST = 0.5, RETRUST = 0.3;
 
@@ -111,7 +111,7 @@
     private final ArrayDeque<Double> taken = new ArrayDeque<>(), further = new ArrayDeque<>();
     private List<Front.Action> out = new ArrayList<>();
     private double now, watched;
-    private int ended, switches;
+    private int ended, switches, requests, probes;
     private boolean started, subscribed;
     private double askedAt = Double.NEGATIVE_INFINITY;
 
@@ -163,7 +163,7 @@
         if (set.onRequest()) subscribe();
         out.add(new Front.Sleep(PERIOD * (0.5 + 0.5 * random.nextDouble()), "pack"));
         boolean pull = set.rules().probes() && set.reportVia().equals("pull");
-        if (pull && set.prices().probe() <= PROBE_PRICE) out.add(new Front.Sleep(set.see() / 3, "probe"));
+        if (pull) out.add(new Front.Sleep(set.see() / 3, "probe"));
     }
 
     private void onDue(String tag) {
@@ -456,6 +456,7 @@
     private void onRequest(Front.Ask ask) {
         int cls = classOf(ask.service());
         taken.addLast(now);
+        requests++;
         if (cls < 0) {
             out.add(new Front.Fail(ask.req()));
             return;
@@ -912,8 +913,9 @@
         at.lost |= at.strikes > 1;
     }
 
-    /** Where load is told by probes only, the server longest unread is probed once every see. */
+    /** Where load is told by probes only, the longest unread server is probed, within a spend a request. */
     private void probe() {
+        if (probes * set.prices().probe() > PROBE_SPEND * (requests + servers.size())) return;
         Server oldest = null;
         for (Server s : servers.values()) {
             if (!s.running || now < s.suspectUntil) continue;
@@ -921,6 +923,7 @@
         }
         if (oldest == null) return;
         oldest.readAt = now;
+        probes++;
         out.add(new Front.Check(oldest.id));
     }
 
