--- a/src/main/java/trestleline/Decide.java
+++ b/src/main/java/trestleline/Decide.java
@@ -894,7 +894,7 @@
     private void judge(Server at, String code, boolean played) {
         switch (code) {
             case "Failed" -> at.trust *= DISTRUST;
-            case "QueueFull" -> at.link.budget = Math.min(at.link.budget, at.link.own * CUT);
+            case "QueueFull" -> at.suspectUntil = Math.max(at.suspectUntil, now + set.see()); // full: no hammering
             case "ResetByPeer", "ConnectError" -> {
                 at.lost = true;
                 suspect(at);
--- a/src/test/java/trestleline/FailuresTest.java
+++ b/src/test/java/trestleline/FailuresTest.java
@@ -125,6 +125,15 @@
         for (int i = 2; i < 10; i++) assertFalse(hung.equals(Scene.sentTo(w.later(5).request(i, "paid"))));
     }
 
+    @Test
+    void aFullServerIsPassedOverForOneSeeAndNotHammered() {
+        Scene w = Scene.of();
+        w.start("a", "b", "c");
+        String full = Scene.sentTo(w.request(1, "safe"));
+        assertNotNull(Scene.sentTo(w.result(1, 0, full, "QueueFull", false)));
+        for (int i = 2; i < 8; i++) assertFalse(full.equals(Scene.sentTo(w.later(20).request(i, "safe"))));
+    }
+
     @Test
     void aServerThatFailsFastDoesNotLookTheEmptiest() {
         Scene w = Scene.of();
