--- a/src/main/java/trestleline/Decide.java
+++ b/src/main/java/trestleline/Decide.java
@@ -515,10 +515,6 @@
         return sum;
     }
 
-    private double reserve() {
-        return set.ladder().kb()[0];
-    }
-
     /** Places a request: freed share, top fitting rung, reserve and climb, or an answer at once. */
     private void place(Session s) {
         if (!seatFree(s)) {
@@ -534,7 +530,7 @@
             if (rung >= 0 && send(s, f.at, Math.max(rung, Math.min(f.rung, top(s))))) return;
         }
         for (Server at : all) {
-            int rung = fitting(s, at, reserve());
+            int rung = fitting(s, at, set.ladder().kb()[0]);
             if (rung >= 0 && send(s, at, rung)) return;
         }
         for (Server at : all) if (squeeze(s, at)) return;
@@ -659,7 +655,7 @@
     private void optCycle(Pipe r) {
         double unit = Math.max(1, r.budget) / UNITS;
         List<Packing> packs = new ArrayList<>();
-        int free = UNITS - (int) Math.ceil(reserve() / unit);
+        int free = UNITS - (int) Math.ceil(set.ladder().kb()[0] / unit);
         for (Server s : servers.values()) {
             if (rack(s) != r || s.held.isEmpty()) continue;
             List<Session> play = new ArrayList<>();
@@ -894,7 +890,7 @@
     private void judge(Server at, String code, boolean played) {
         switch (code) {
             case "Failed" -> at.trust *= DISTRUST;
-            case "QueueFull" -> at.suspectUntil = Math.max(at.suspectUntil, now + set.see()); // full: no hammering
+            case "QueueFull" -> at.suspectUntil = Math.max(at.suspectUntil, now + set.see()); // not hammered
             case "ResetByPeer", "ConnectError" -> {
                 at.lost = true;
                 suspect(at);
