--- a/src/main/java/trestleline/Decide.java
+++ b/src/main/java/trestleline/Decide.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.function.BiConsumer;
 
 /**
  * The decisions of one front (gateway): FluSS by Reumann and Shin, see docs/design.md. The interface is
@@ -32,8 +33,8 @@
     private static final double REGAIN = 0.02;
     /** Re-pack period (ms): the document's, a few adaptation operations. */
     private static final double PERIOD = 4000;
-    /** Steps in which a rack's budget is packed. */
-    private static final int UNITS = 400;
+    /** Steps of the knapsack in the lowest rate of the ladder. */
+    private static final int UNITS = 16;
     /** A freed share is kept for its class for this long (ms). */
     private static final double HOLD = 500;
     /** Part of the aim after which an unanswered set-up is suspicious, and a safe one tried elsewhere. */
@@ -53,11 +54,8 @@
     private static final class Pipe {
         double cap, fair, budget, own, shortAt = Double.NEGATIVE_INFINITY;
         boolean noted;
+        double luck = 0.5;
         final ArrayDeque<double[]> past = new ArrayDeque<>();
-
-        double room() {
-            return budget - own;
-        }
     }
 
     private static final class Server {
@@ -104,6 +102,7 @@
     private final Map<String, Server> servers = new TreeMap<>();
     private final Map<Long, Session> sessions = new LinkedHashMap<>();
     private final Pipe[] racks;
+    private final Pipe fleet = new Pipe();
     private final double[] cellLink;
     private final Map<String, double[]> buckets = new HashMap<>();
     private final Map<Long, Double> known = new LinkedHashMap<>();
@@ -233,10 +232,12 @@
             double part = linkSum > 0 ? rackSum[r] / linkSum : 1.0 / racks.length;
             resize(racks[r], f.rackLinkKb() * racks.length * part, 1);
         }
+        resize(fleet, f.rackLinkKb() * racks.length, 1);
     }
 
     private void resize(Pipe p, double cap, double lump) {
-        double fair = AIM * cap * Math.min(1, lump / set.fronts());
+        double one = p == fleet ? 0 : set.ladder().kb()[set.ladder().kb().length - 1];
+        double fair = AIM * Math.min(cap, Math.max(one, cap * lump / set.fronts()));
         p.budget = p.cap > 0 ? p.budget * fair / Math.max(1e-9, p.fair) : fair;
         p.cap = cap;
         p.fair = fair;
@@ -304,9 +305,13 @@
     private void recount(Server s) {
         record(s.link, ownAt(s));
         Pipe r = rack(s);
-        double sum = 0;
-        for (Server o : servers.values()) if (rack(o) == r) sum += o == s ? s.link.own : o.link.own;
+        double sum = 0, all = 0;
+        for (Server o : servers.values()) {
+            all += o.link.own;
+            if (rack(o) == r) sum += o.link.own;
+        }
         record(r, sum);
+        record(fleet, all);
     }
 
     private double ownAt(Server s) {
@@ -390,6 +395,7 @@
     private void cut(Pipe p, double share) {
         double then = ownSince(p, now - set.see() - 1000, now - set.see());
         p.budget = Math.min(p.budget, then * share * CUT);
+        if (now - p.shortAt > set.see() + 1000) p.luck = random.nextDouble();
         p.shortAt = now;
     }
 
@@ -397,13 +403,30 @@
     private void regain(Pipe p) {
         if (p.noted && p.budget >= p.fair) return;
         if (now - p.shortAt < set.see() + 1000) return;
-        if (p.room() > 0.1 * p.budget && p.budget >= p.fair) return;
+        if (room(p) > 0.1 * p.budget && p.budget >= p.fair) return;
         double step = REGAIN * p.fair * PERIOD / 1000;
         p.budget = Math.min(2 * p.fair, p.budget + (p.budget < p.fair ? step : step / 2));
     }
 
+    /**
+     * Room in a pipe: budget less own use. The budget seldom falls on a rung, so it is rounded by a lot drawn
+     * at each cut: fronts that hear one note together neither all step down nor all stay.
+     */
+    private double room(Pipe p) {
+        double[] kb = set.ladder().kb();
+        double one = Math.min(p.budget, fleet.own / Math.max(1, sessions.size()));
+        int r = 0;
+        while (r + 2 < kb.length && kb[r + 1] <= one) r++;
+        double step = kb.length > 1 ? kb[r + 1] - kb[r] : 0;
+        return p.budget + (p.luck - 0.5) * step - p.own;
+    }
+
+    private double local(Server s) {
+        return Math.min(room(s.link), room(rack(s)));
+    }
+
     private double room(Server s) {
-        return Math.min(s.link.room(), rack(s).room());
+        return Math.min(local(s), room(fleet));
     }
 
     // ---- server pick ----
@@ -433,7 +456,7 @@
         List<Server> all = new ArrayList<>();
         for (Server at : servers.values()) {
             if (!eligible(s, at)) continue;
-            double room = room(at);
+            double room = local(at);
             score.put(at, (room > 0 ? room * at.trust * at.trust : room) + 1e-3 * random.nextDouble()
                 + (at.entry.zone().equals(set.zone()) ? 0.01 : 0));
             all.add(at);
@@ -579,12 +602,13 @@
     /** Sessions whose one-step drops free {@code need} for less payoff than {@code gain}, or null. */
     private List<Session> givers(Server at, double need, double gain, double stay) {
         List<Session> give = new ArrayList<>();
-        double linkNeed = need - at.link.room(), rackNeed = need - rack(at).room(), lost = 0;
-        while (linkNeed > 0 || rackNeed > 0) {
+        double linkNeed = need - room(at.link), rackNeed = need - room(rack(at)), allNeed = need - room(fleet);
+        double lost = 0;
+        while (linkNeed > 0 || rackNeed > 0 || allNeed > 0) {
             Session best = null;
             double bestPrice = Double.POSITIVE_INFINITY;
             for (Server o : servers.values()) {
-                if (o != at && (linkNeed > 0 || rack(o) != rack(at))) continue;
+                if (o != at && (linkNeed > 0 || rackNeed > 0 && rack(o) != rack(at))) continue;
                 for (Session g : o.held.values()) {
                     if (!mayDrop(g) || give.contains(g)) continue;
                     double price = loss(g, stay) / (rate(g, g.rung) - rate(g, g.rung - 1));
@@ -600,7 +624,8 @@
             if (lost >= gain) return null;
             double freed = rate(best, best.rung) - rate(best, best.rung - 1);
             if (best.at == at) linkNeed -= freed;
-            rackNeed -= freed;
+            if (rack(best.at) == rack(at)) rackNeed -= freed;
+            allNeed -= freed;
         }
         return give;
     }
@@ -643,53 +668,46 @@
             recount(s);
         }
         for (Pipe r : racks) regain(r);
+        regain(fleet);
         if (freeList.removeIf(f -> f.until <= now)) servers.values().forEach(this::recount);
-        for (Pipe r : racks) optCycle(r);
+        optCycle();
         if (set.onRequest() && !subscribed && now - askedAt > set.rules().askEvery() / 4) subscribe();
     }
 
-    /** Best packing of one server for every budget up to a limit: value and each session's rung. */
-    private record Packing(List<Session> sessions, double[] value, int[][] rung) { }
+    /** The best value of some sessions for every budget in steps, and how to take it. */
+    private record Packing(double[] value, BiConsumer<Integer, Map<Session, Integer>> take) { }
 
-    /** OptCycle: a knapsack over each server's sessions within its link, then over the rack's servers. */
-    private void optCycle(Pipe r) {
-        double unit = Math.max(1, r.budget) / UNITS;
-        List<Packing> packs = new ArrayList<>();
-        int free = UNITS - (int) Math.ceil(set.ladder().kb()[0] / unit);
+    /** OptCycle: a knapsack over each server's sessions in its link, then each rack's servers, then all racks. */
+    private void optCycle() {
+        double unit = set.ladder().kb()[0] / UNITS;
+        Map<Pipe, Packing> byRack = new LinkedHashMap<>();
+        Map<Pipe, Double> fixed = new HashMap<>();
+        double allFixed = set.ladder().kb()[0];
         for (Server s : servers.values()) {
-            if (rack(s) != r || s.held.isEmpty()) continue;
-            List<Session> play = new ArrayList<>();
-            double fixed = s.link.own;
+            if (s.held.isEmpty()) continue;
+            Packing link = null;
+            double rest = s.link.own;
             for (Session o : s.held.values()) {
                 if (!o.playing) continue;
-                play.add(o);
-                fixed -= adds(o, s, o.rung);
+                link = join(link, single(o, unit), 1e9);
+                rest -= adds(o, s, o.rung);
             }
-            free -= (int) Math.ceil(fixed / unit);
-            if (!play.isEmpty()) packs.add(pack(play, s.link.budget - fixed, unit));
-        }
-        if (free < 0) return;
-        int[][] split = new int[packs.size()][];
-        double[] best = new double[free + 1];
-        for (int k = 0; k < packs.size(); k++) {
-            double[] v = packs.get(k).value, next = new double[free + 1];
-            Arrays.fill(next, Double.NEGATIVE_INFINITY);
-            split[k] = new int[free + 1];
-            for (int g = 0; g <= free; g++) {
-                for (int h = Math.min(g, v.length - 1); h >= 0 && v[h] > Double.NEGATIVE_INFINITY; h--) {
-                    if (best[g - h] + v[h] > next[g]) {
-                        next[g] = best[g - h] + v[h];
-                        split[k][g] = h;
-                    }
-                }
-            }
-            best = next;
-        }
-        if (best[free] == Double.NEGATIVE_INFINITY) return;
+            fixed.merge(rack(s), rest, Double::sum);
+            allFixed += rest;
+            if (link == null) continue;
+            link = join(null, link, (room(s.link) + s.link.own - rest) / unit);
+            byRack.put(rack(s), join(byRack.get(rack(s)), link, 1e9));
+        }
+        Packing all = null;
+        for (Map.Entry<Pipe, Packing> e : byRack.entrySet()) {
+            Pipe r = e.getKey();
+            double limit = room(r) + r.own - fixed.get(r) - set.ladder().kb()[0];
+            all = join(all, join(null, e.getValue(), limit / unit), 1e9);
+        }
+        if (all == null) return;
+        all = join(null, all, (room(fleet) + fleet.own - allFixed) / unit);
         Map<Session, Integer> plan = new LinkedHashMap<>();
-        for (int k = packs.size() - 1, g = free; k >= 0; g -= split[k--][g]) {
-            assign(packs.get(k), split[k][g], plan);
-        }
+        all.take.accept(all.value.length - 1, plan);
         plan.forEach((s, rung) -> {
             if (rung < s.rung) setRung(s, rung);
         });
@@ -698,37 +716,46 @@
         });
     }
 
-    private Packing pack(List<Session> play, double budget, double unit) {
-        int size = (int) Math.max(0, Math.min(UNITS, Math.floor(budget / unit)));
-        double[] value = new double[size + 1];
-        int[][] rung = new int[play.size()][size + 1];
+    private Packing single(Session s, double unit) {
+        double[] value = new double[(int) Math.round(rate(s, top(s)) / unit) + 1];
+        int[] rung = new int[value.length];
         double stay = stay();
-        for (int i = 0; i < play.size(); i++) {
-            Session s = play.get(i);
-            double[] next = new double[size + 1];
-            Arrays.fill(next, Double.NEGATIVE_INFINITY);
-            for (int r = terms(s).floor(); r <= top(s); r++) {
-                int cost = (int) Math.ceil(rate(s, r) / unit);
-                double worth = payoff(s, r) * stay - (r == s.rung ? 0 : switchCost(s));
-                for (int g = cost; g <= size; g++) {
-                    if (value[g - cost] + worth > next[g]) {
-                        next[g] = value[g - cost] + worth;
-                        rung[i][g] = r;
-                    }
-                }
+        Arrays.fill(value, Double.NEGATIVE_INFINITY);
+        for (int r = terms(s).floor(); r <= top(s); r++) {
+            double worth = payoff(s, r) * stay - (r == s.rung ? 0 : switchCost(s));
+            for (int g = (int) Math.round(rate(s, r) / unit); g < value.length && worth > value[g]; g++) {
+                value[g] = worth;
+                rung[g] = r;
+            }
+        }
+        return new Packing(value, (g, plan) -> plan.put(s, rung[g]));
+    }
+
+    /** Two packings in one, up to a limit, but never under what both need at least. */
+    private Packing join(Packing a, Packing b, double limit) {
+        Packing first = a == null ? new Packing(new double[1], (g, plan) -> { }) : a;
+        int least = least(first.value) + least(b.value), most = first.value.length + b.value.length - 2;
+        double[] value = new double[(int) Math.max(least, Math.min(most, limit)) + 1];
+        int[] split = new int[value.length];
+        Arrays.fill(value, Double.NEGATIVE_INFINITY);
+        for (int g = least; g < value.length; g++) {
+            for (int h = Math.max(0, g - first.value.length + 1); h <= Math.min(g, b.value.length - 1); h++) {
+                double v = first.value[g - h] + b.value[h];
+                if (v <= value[g]) continue;
+                value[g] = v;
+                split[g] = h;
             }
-            value = next;
         }
-        return new Packing(play, value, rung);
+        return new Packing(value, (g, plan) -> {
+            first.take.accept(g - split[g], plan);
+            b.take.accept(split[g], plan);
+        });
     }
 
-    private void assign(Packing p, int units, Map<Session, Integer> plan) {
-        double unit = Math.max(1, rack(p.sessions.get(0).at).budget) / UNITS;
-        for (int i = p.sessions.size() - 1, g = units; i >= 0; i--) {
-            Session s = p.sessions.get(i);
-            plan.put(s, p.rung[i][g]);
-            g -= (int) Math.ceil(rate(s, p.rung[i][g]) / unit);
-        }
+    private static int least(double[] value) {
+        int g = 0;
+        while (value[g] == Double.NEGATIVE_INFINITY) g++;
+        return g;
     }
 
     // ---- attempts and deadlines ----
