--- a/src/main/java/trestleline/Decide.java
+++ b/src/main/java/trestleline/Decide.java
@@ -20,7 +20,7 @@
  */
 public final class Decide {
     /** Share of a pipe that is packed: true rates stray from the ladder, and short delivery costs most. */
-    private static final double AIM = 0.96;
+    private static final double AIM = 0.94;
     /** How much more than an even part of a link one front may pack; the rack's part still bounds the sum. */
     private static final double LUMP = 1.3;
     /** After a short-share note own use is cut to this part of what was delivered. */
@@ -35,6 +35,8 @@
     private static final double PERIOD = 4000;
     /** Steps of the knapsack in the lowest rate of the ladder. */
     private static final int UNITS = 16;
+    /** Weight, in sessions, of the even part against the number of sessions that this front sees. */
+    private static final double PRIOR = 4;
     /** A freed share is kept for its class for this long (ms). */
     private static final double HOLD = 500;
     /** Part of the aim after which an unanswered set-up is suspicious, and a safe one tried elsewhere. */
@@ -338,20 +340,28 @@
         return Math.max(most, p.own);
     }
 
-    /** A note of use (asked over given): own use then, plus this front's part of the room left. */
-    private void use(Pipe p, double x, double lag) {
-        double then = ownSince(p, now - lag, now - lag);
-        double even = AIM * p.cap / set.fronts();
-        double told = x < AIM ? then + (AIM - x) * p.cap / set.fronts() : then * AIM / x;
+    /**
+     * A note of use (asked over given): the budget is own use then and a part of the room left or missing, as
+     * much of it as this front had of what was asked, or an even part.
+     */
+    private void use(Pipe p, double x, double lag, double weight) {
+        double then = ownSince(p, now - lag, now - lag), even = AIM * p.cap / set.fronts();
+        double part = Math.max(1.0 / set.fronts(), Math.min(1, then / Math.max(1, x * p.cap)));
+        double told = x < AIM ? then + (AIM - x) * p.cap * part : then * AIM / x;
         if (x < 1) told = Math.max(told, 0.5 * even);
-        p.budget += SMOOTH * (told - p.budget);
+        p.budget += weight * (told - p.budget);
         p.noted = true;
     }
 
     private void report(Server s, Map<String, Double> report) {
         Double x0 = report.getOrDefault("x0", report.get("load_share")), x1 = report.get("x1");
-        if (x0 != null) use(s.link, x0, set.see() / 2);
-        if (x1 != null) use(rack(s), x1, set.see() / 2);
+        if (x0 != null) use(s.link, x0, set.see() / 2, SMOOTH);
+        if (x1 != null) useRack(s, x1, set.see() / 2);
+    }
+
+    private void useRack(Server s, double x, double lag) {
+        use(rack(s), x, lag, SMOOTH);
+        use(fleet, x, lag, SMOOTH / 4);
     }
 
     private void onNote(Front.Note e) {
@@ -367,8 +377,8 @@
                     recount(s.at);
                 }
             }
-            case 3 -> use(at.link, e.value(), lag);
-            case 4 -> use(rack(at), e.value(), lag);
+            case 3 -> use(at.link, e.value(), lag, SMOOTH);
+            case 4 -> useRack(at, e.value(), lag);
             default -> { }
         }
     }
@@ -389,6 +399,7 @@
             if (now - o.shortAt <= 1000 + set.tick()) low++;
         }
         cut(low >= 2 && 2 * low > held ? r : at.link, share);
+        fleet.budget *= 1 - (1 - share) * Math.min(1, at.link.own / Math.max(1, fleet.own));
         relieve(at);
     }
 
@@ -414,11 +425,22 @@
      */
     private double room(Pipe p) {
         double[] kb = set.ladder().kb();
-        double one = Math.min(p.budget, fleet.own / Math.max(1, sessions.size()));
+        double budget = p.budget * (p == fleet ? lean() : 1);
+        double one = Math.min(budget, fleet.own / Math.max(1, sessions.size()));
         int r = 0;
         while (r + 2 < kb.length && kb[r + 1] <= one) r++;
         double step = kb.length > 1 ? kb[r + 1] - kb[r] : 0;
-        return p.budget + (p.luck - 0.5) * step - p.own;
+        return budget + p.luck * step / Math.max(1, p.own / Math.max(1, one)) - p.own;
+    }
+
+    /**
+     * How far this front's viewers go beyond an even part of a fleet that is full at the middle rung: their
+     * number shrunk towards that, as if PRIOR fair samples had been seen before. Few sessions tell little.
+     */
+    private double lean() {
+        double[] kb = set.ladder().kb();
+        double full = AIM * fleet.cap / set.fronts() / kb[kb.length / 2], n = sessions.size();
+        return n * (PRIOR + full) / Math.max(1e-9, full * (PRIOR + n));
     }
 
     private double local(Server s) {
@@ -529,13 +551,9 @@
      * holds for on-off links as for waves of viewers; a stormy start may keep upgrades back for a while.
      */
     private double stay() {
-        return (played() + PERIOD) / (ended + switches + 1) / 1000;
-    }
-
-    private double played() {
         double sum = watched;
         for (Session s : sessions.values()) if (s.playing) sum += now - s.startedAt;
-        return sum;
+        return (sum + PERIOD) / (ended + switches + 1) / 1000;
     }
 
     /** Places a request: freed share, top fitting rung, reserve and climb, or an answer at once. */
@@ -601,8 +619,12 @@
 
     /** Sessions whose one-step drops free {@code need} for less payoff than {@code gain}, or null. */
     private List<Session> givers(Server at, double need, double gain, double stay) {
+        return givers(at, need - room(at.link), need - room(rack(at)), need - room(fleet), gain, stay);
+    }
+
+    private List<Session> givers(Server at, double linkNeed, double rackNeed, double allNeed, double gain,
+                                 double stay) {
         List<Session> give = new ArrayList<>();
-        double linkNeed = need - room(at.link), rackNeed = need - room(rack(at)), allNeed = need - room(fleet);
         double lost = 0;
         while (linkNeed > 0 || rackNeed > 0 || allNeed > 0) {
             Session best = null;
@@ -618,7 +640,7 @@
                     }
                 }
             }
-            if (best == null) return null;
+            if (best == null) return gain == Double.POSITIVE_INFINITY ? give : null;
             give.add(best);
             lost += loss(best, stay);
             if (lost >= gain) return null;
@@ -645,16 +667,9 @@
 
     /** Greedy drops until the server and its rack are within their budgets again. */
     private void relieve(Server at) {
-        while (room(at) < 0) {
-            List<Session> give = givers(at, 0, Double.POSITIVE_INFINITY, stay());
-            if (give == null) {
-                Session any = null;
-                for (Session g : at.held.values()) {
-                    if (mayDrop(g)) any = g;
-                }
-                if (any == null) return;
-                give = List.of(any);
-            }
+        while (local(at) < 0) {
+            List<Session> give = givers(at, -room(at.link), -room(rack(at)), 0, Double.POSITIVE_INFINITY, stay());
+            if (give.isEmpty()) return;
             give.forEach(g -> setRung(g, g.rung - 1));
         }
     }
@@ -938,7 +953,7 @@
 
     /** Where load is told by probes only, the longest unread server is probed, within a spend a request. */
     private void probe() {
-        if (probes * set.prices().probe() > PROBE_SPEND * (requests + servers.size())) return;
+        if (probes * set.prices().probe() > PROBE_SPEND * (requests + (double) servers.size() / set.fronts())) return;
         Server oldest = null;
         for (Server s : servers.values()) {
             if (!s.running || now < s.suspectUntil) continue;
