--- a/src/main/java/trestleline/Decide.java
+++ b/src/main/java/trestleline/Decide.java
@@ -11,12 +11,17 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.BiConsumer;
+import trestleline.State.Freed;
+import trestleline.State.Pipe;
+import trestleline.State.Server;
+import trestleline.State.Session;
 
 /**
  * The decisions of one front (gateway): FluSS by Reumann and Shin, see docs/design.md. The interface is
- * {@link Front} (Front.java). One instance a gateway; no I/O, clock, statics or threads: what it does follows
- * from its events and seed alone. Read in this order: event dispatch; membership, drain and cold pacing; the
- * account of server and rack room; server pick; admission; degrade; re-pack; attempts and deadlines; health.
+ * {@link Front} (Front.java), its memory plain {@link State}. One instance a gateway; no I/O, clock, statics
+ * or threads: what it does follows from its events and seed alone. Read in this order: event dispatch;
+ * membership, drain and cold pacing; the account of server and rack room; server pick; admission; degrade;
+ * re-pack; attempts and deadlines; health.
  */
 public final class Decide {
     /** Share of a pipe that is packed: true rates stray from the ladder, and short delivery costs most. */
@@ -52,52 +57,6 @@
     /** Trust left after a failed set-up, and the part of the missing trust a success restores. */
     private static final double DISTRUST = 0.5, RETRUST = 0.3;
 
-    /** A link or a rack's uplink, as this front accounts for it (kB a second). */
-    private static final class Pipe {
-        double cap, fair, budget, own, shortAt = Double.NEGATIVE_INFINITY;
-        boolean noted;
-        double luck = 0.5;
-        final ArrayDeque<double[]> past = new ArrayDeque<>();
-    }
-
-    private static final class Server {
-        final String id;
-        final Pipe link = new Pipe();
-        final Map<Long, Session> held = new LinkedHashMap<>();
-        Front.Entry entry;
-        boolean running;
-        double since, backAt = Double.NEGATIVE_INFINITY, lastPaced = Double.NEGATIVE_INFINITY;
-        double suspectUntil = Double.NEGATIVE_INFINITY, shortAt = Double.NEGATIVE_INFINITY, readAt, trust = 1;
-        int strikes;
-        boolean lost, proven;
-
-        Server(String id) {
-            this.id = id;
-        }
-    }
-
-    private static final class Session {
-        final Front.Ask ask;
-        final int cls;
-        final double deadline, weight;
-        final List<Server> tried = new ArrayList<>();
-        Server at;
-        int rung, shot = -1;
-        boolean playing, out, mayHaveRun;
-        double startedAt, sentAt, ranAt;
-        Server ranOn;
-
-        Session(Front.Ask ask, int cls, double now, double weight) {
-            this.ask = ask;
-            this.cls = cls;
-            this.weight = weight;
-            this.deadline = now + ask.ttl();
-        }
-    }
-
-    /** A share on the free-list: what a session that just ended leaves to a newcomer of its class. */
-    private record Freed(int cls, Server at, int rung, double rate, double until) { }
-
     private final Front.Settings set;
     private final SplittableRandom random;
     private final double born;
@@ -209,10 +168,14 @@
                 }
             }
         }
-        servers.values().removeIf(s -> !s.running && s.held.isEmpty() && s.entry.status().equals("Deleted"));
+        servers.values().removeIf(s -> s.link.own < 1 && s.held.isEmpty() && gone(s));
         size();
     }
 
+    private static boolean gone(Server s) {
+        return s.entry.status().equals("Deleted");
+    }
+
     /** Sets link and uplink sizes as told; a machine's size is its weight or, untold, its places. */
     private void size() {
         Front.Fleet f = set.fleet();
@@ -225,13 +188,11 @@
             resize(s.link, cap * warmth(s), LUMP);
             cellLink[Math.floorMod(s.entry.slot(), cellLink.length)] = cap;
         }
-        double[] rackSum = new double[racks.length];
-        for (int c = 0; c < cellLink.length; c++) {
-            rackSum[c % racks.length] += cellLink[c];
-            linkSum += cellLink[c];
-        }
+        for (double link : cellLink) linkSum += link;
         for (int r = 0; r < racks.length; r++) {
-            double part = linkSum > 0 ? rackSum[r] / linkSum : 1.0 / racks.length;
+            double rackSum = 0;
+            for (int c = r; c < cellLink.length; c += racks.length) rackSum += cellLink[c];
+            double part = linkSum > 0 ? rackSum / linkSum : 1.0 / racks.length;
             resize(racks[r], f.rackLinkKb() * racks.length * part, 1);
         }
         resize(fleet, f.rackLinkKb() * racks.length, 1);
@@ -252,13 +213,10 @@
 
     /** How far a server is known to have warmed up, from the cold share to 1. */
     private double warmth(Server s) {
-        return warmth(s, Math.max(s.since, s.backAt));
-    }
-
-    private double warmth(Server s, double from) {
         double cold = set.rules().cold(), share = set.rules().coldShare();
         if (s.lost) return share;
-        return cold <= 0 ? 1 : Math.min(1, share + (1 - share) * Math.max(0, now - from) / cold);
+        double age = Math.max(0, now - Math.max(s.since, s.backAt));
+        return cold <= 0 ? 1 : Math.min(1, share + (1 - share) * age / cold);
     }
 
     /**
@@ -305,28 +263,15 @@
 
     /** Counts again what this front asks of a server's link and its rack's uplink, freed shares included. */
     private void recount(Server s) {
-        record(s.link, ownAt(s));
-        Pipe r = rack(s);
-        double sum = 0, all = 0;
-        for (Server o : servers.values()) {
-            all += o.link.own;
-            if (rack(o) == r) sum += o.link.own;
+        double own = 0;
+        for (Session o : s.held.values()) own += adds(o, s, o.rung);
+        for (Freed f : freeList) if (f.at() == s) own += f.rate();
+        double more = own - s.link.own;
+        for (Pipe p : List.of(s.link, rack(s), fleet)) {
+            p.past.addLast(new double[] {now, p.own});
+            p.own += more;
+            while (p.past.peekFirst()[0] < now - 2 * set.see() - 2000) p.past.removeFirst();
         }
-        record(r, sum);
-        record(fleet, all);
-    }
-
-    private double ownAt(Server s) {
-        double sum = 0;
-        for (Session o : s.held.values()) sum += adds(o, s, o.rung);
-        for (Freed f : freeList) if (f.at == s) sum += f.rate;
-        return sum;
-    }
-
-    private void record(Pipe p, double own) {
-        p.past.addLast(new double[] {now, p.own});
-        p.own = own;
-        while (!p.past.isEmpty() && p.past.peekFirst()[0] < now - 2 * set.see() - 2000) p.past.removeFirst();
     }
 
     /** The most this front asked of a pipe between two times past. */
@@ -359,6 +304,7 @@
         if (x1 != null) useRack(s, x1, set.see() / 2);
     }
 
+    /** Each rack is a sample of the fleet as well. */
     private void useRack(Server s, double x, double lag) {
         use(rack(s), x, lag, SMOOTH);
         use(fleet, x, lag, SMOOTH / 4);
@@ -474,16 +420,15 @@
 
     /** The holders this session may go to, most trusted room first, ties at random. */
     private List<Server> candidates(Session s) {
-        Map<Server, Double> score = new HashMap<>();
         List<Server> all = new ArrayList<>();
         for (Server at : servers.values()) {
             if (!eligible(s, at)) continue;
             double room = local(at);
-            score.put(at, (room > 0 ? room * at.trust * at.trust : room) + 1e-3 * random.nextDouble()
-                + (at.entry.zone().equals(set.zone()) ? 0.01 : 0));
+            at.appeal = (room > 0 ? room * at.trust * at.trust : room) + 1e-3 * random.nextDouble()
+                + (at.entry.zone().equals(set.zone()) ? 0.01 : 0);
             all.add(at);
         }
-        all.sort(Comparator.comparingDouble((Server at) -> -score.get(at)));
+        all.sort(Comparator.comparingDouble((Server at) -> -at.appeal));
         return all;
     }
 
@@ -564,11 +509,11 @@
         }
         List<Server> all = candidates(s);
         for (Freed f : List.copyOf(freeList)) {
-            if (f.cls != s.cls || !all.contains(f.at) || room(f.at) < 0) continue;
+            if (f.cls() != s.cls || !all.contains(f.at()) || room(f.at()) < 0) continue;
             freeList.remove(f);
-            recount(f.at);
-            int rung = fitting(s, f.at, 0);
-            if (rung >= 0 && send(s, f.at, Math.max(rung, Math.min(f.rung, top(s))))) return;
+            recount(f.at());
+            int rung = fitting(s, f.at(), 0);
+            if (rung >= 0 && send(s, f.at(), Math.max(rung, Math.min(f.rung(), top(s))))) return;
         }
         for (Server at : all) {
             int rung = fitting(s, at, set.ladder().kb()[0]);
@@ -588,21 +533,16 @@
 
     /** Starts at the lowest rung from the reserve, or from room others give up for less than it gains. */
     private boolean squeeze(Session s, Server at) {
-        int rung = terms(s).floor();
+        int floor = terms(s).floor(), rung = floor - 1;
         double stay = stay();
-        if (rate(s, rung) > room(at)) {
-            List<Session> give = givers(at, rate(s, rung), payoff(s, rung) * stay, stay);
-            if (give == null) return false;
-            give.forEach(o -> setRung(o, o.rung - 1));
-        }
         while (rung < top(s)) {
-            double gain = (payoff(s, rung + 1) - payoff(s, rung)) * stay;
+            double gain = (payoff(s, rung + 1) - (rung < floor ? 0 : payoff(s, rung))) * stay;
             List<Session> give = givers(at, rate(s, rung + 1), gain, stay);
             if (give == null) break;
             give.forEach(o -> setRung(o, o.rung - 1));
             rung++;
         }
-        return send(s, at, rung);
+        return rung >= floor && send(s, at, rung);
     }
 
     private void giveUp(Session s) {
@@ -619,11 +559,8 @@
 
     /** Sessions whose one-step drops free {@code need} for less payoff than {@code gain}, or null. */
     private List<Session> givers(Server at, double need, double gain, double stay) {
-        return givers(at, need - room(at.link), need - room(rack(at)), need - room(fleet), gain, stay);
-    }
-
-    private List<Session> givers(Server at, double linkNeed, double rackNeed, double allNeed, double gain,
-                                 double stay) {
+        double linkNeed = need - room(at.link), rackNeed = need - room(rack(at));
+        double allNeed = need > 0 ? need - room(fleet) : 0;
         List<Session> give = new ArrayList<>();
         double lost = 0;
         while (linkNeed > 0 || rackNeed > 0 || allNeed > 0) {
@@ -668,7 +605,7 @@
     /** Greedy drops until the server and its rack are within their budgets again. */
     private void relieve(Server at) {
         while (local(at) < 0) {
-            List<Session> give = givers(at, -room(at.link), -room(rack(at)), 0, Double.POSITIVE_INFINITY, stay());
+            List<Session> give = givers(at, 0, Double.POSITIVE_INFINITY, stay());
             if (give.isEmpty()) return;
             give.forEach(g -> setRung(g, g.rung - 1));
         }
@@ -684,7 +621,7 @@
         }
         for (Pipe r : racks) regain(r);
         regain(fleet);
-        if (freeList.removeIf(f -> f.until <= now)) servers.values().forEach(this::recount);
+        if (freeList.removeIf(f -> f.until() <= now)) servers.values().forEach(this::recount);
         optCycle();
         if (set.onRequest() && !subscribed && now - askedAt > set.rules().askEvery() / 4) subscribe();
     }
@@ -692,7 +629,7 @@
     /** The best value of some sessions for every budget in steps, and how to take it. */
     private record Packing(double[] value, BiConsumer<Integer, Map<Session, Integer>> take) { }
 
-    /** OptCycle: a knapsack over each server's sessions in its link, then each rack's servers, then all racks. */
+    /** OptCycle: a knapsack over each server's sessions in its link, each rack's servers, then all racks. */
     private void optCycle() {
         double unit = set.ladder().kb()[0] / UNITS;
         Map<Pipe, Packing> byRack = new LinkedHashMap<>();
@@ -723,12 +660,11 @@
         all = join(null, all, (room(fleet) + fleet.own - allFixed) / unit);
         Map<Session, Integer> plan = new LinkedHashMap<>();
         all.take.accept(all.value.length - 1, plan);
-        plan.forEach((s, rung) -> {
-            if (rung < s.rung) setRung(s, rung);
-        });
-        plan.forEach((s, rung) -> {
-            if (rung > s.rung) setRung(s, rung);
-        });
+        for (boolean up : new boolean[] {false, true}) {
+            plan.forEach((s, rung) -> {
+                if (rung > s.rung == up) setRung(s, rung);
+            });
+        }
     }
 
     private Packing single(Session s, double unit) {
@@ -953,7 +889,8 @@
 
     /** Where load is told by probes only, the longest unread server is probed, within a spend a request. */
     private void probe() {
-        if (probes * set.prices().probe() > PROBE_SPEND * (requests + (double) servers.size() / set.fronts())) return;
+        double worth = PROBE_SPEND * (requests + (double) servers.size() / set.fronts());
+        if (probes * set.prices().probe() > worth) return;
         Server oldest = null;
         for (Server s : servers.values()) {
             if (!s.running || now < s.suspectUntil) continue;
