Room is regained in proportion to the budget

Cause: at size the regained step was a part of a whole session's top rate, ten percent of a low rung a second.

--- a/src/main/java/trestleline/Decide.java
+++ b/src/main/java/trestleline/Decide.java
@@ -361,7 +361,7 @@
         if (p.noted && p.budget >= p.fair) return;
         if (now - p.shortAt < set.see() + 1000) return;
         if (room(p) > 0.1 * p.budget && p.budget >= p.fair) return;
-        double step = REGAIN * p.fair * PERIOD / 1000;
+        double step = REGAIN * Math.min(p.fair, p.budget) * PERIOD / 1000;
         p.budget = Math.min(2 * p.fair, p.budget + (p.budget < p.fair ? step : step / 2));
     }
 
