--- a/src/main/java/trestleline/Decide.java
+++ b/src/main/java/trestleline/Decide.java
@@ -25,7 +25,7 @@
  */
 public final class Decide {
     /** Share of a pipe that is packed: true rates stray from the ladder, and short delivery costs most. */
-    private static final double AIM = 0.94;
+    private static final double AIM = 0.91;
     /** How much more than an even part of a link one front may pack; the rack's part still bounds the sum. */
     private static final double LUMP = 1.3;
     /** After a short-share note own use is cut to this part of what was delivered. */
@@ -771,8 +771,9 @@
     private void setRung(Session s, int rung) {
         int to = Math.max(terms(s).floor(), Math.min(top(s), rung));
         if (to == s.rung) return;
+        boolean up = to > s.rung;
         s.rung = to;
-        if (s.playing) switches++;
+        if (s.playing && up) switches += 2;
         out.add(new Front.Rate(s.ask.req(), to));
         if (s.at != null) recount(s.at);
     }
