--- a/src/main/java/trestleline/Decide.java
+++ b/src/main/java/trestleline/Decide.java
@@ -307,7 +307,7 @@
     /** Each rack is a sample of the fleet as well. */
     private void useRack(Server s, double x, double lag) {
         use(rack(s), x, lag, SMOOTH);
-        use(fleet, x, lag, SMOOTH / 4);
+        use(fleet, x, lag, SMOOTH / 2);
     }
 
     private void onNote(Front.Note e) {
