--- a/src/main/java/trestleline/Decide.java
+++ b/src/main/java/trestleline/Decide.java
@@ -352,7 +352,10 @@
     private void cut(Pipe p, double share) {
         double then = ownSince(p, now - set.see() - 1000, now - set.see());
         p.budget = Math.min(p.budget, then * share * CUT);
-        if (now - p.shortAt > set.see() + 1000) p.luck = random.nextDouble();
+        if (now - p.drawnAt > set.see() + 1000) {
+            p.luck = random.nextDouble();
+            p.drawnAt = now;
+        }
         p.shortAt = now;
     }
 
--- a/src/main/java/trestleline/State.java
+++ b/src/main/java/trestleline/State.java
@@ -14,7 +14,7 @@
     static final class Pipe {
         double cap, fair, budget, own, shortAt = Double.NEGATIVE_INFINITY;
         boolean noted;
-        double luck = 0.5;
+        double luck = 0.5, drawnAt = Double.NEGATIVE_INFINITY;
         final ArrayDeque<double[]> past = new ArrayDeque<>();
     }
 
