First re-pack at once, then at uneven times

Cause: sessions handed over may ask far more than links give for seconds, and re-packs in step act on one note together.

--- a/src/main/java/trestleline/Decide.java
+++ b/src/main/java/trestleline/Decide.java
@@ -121,7 +121,7 @@
     private void start() {
         started = true;
         if (set.onRequest()) subscribe();
-        out.add(new Front.Sleep(PERIOD * (0.5 + 0.5 * random.nextDouble()), "pack"));
+        out.add(new Front.Sleep(0.1 * PERIOD * random.nextDouble(), "pack"));
         boolean pull = set.rules().probes() && set.reportVia().equals("pull");
         if (pull) out.add(new Front.Sleep(set.see() / 3, "probe"));
     }
@@ -129,7 +129,7 @@
     private void onDue(String tag) {
         if (tag.equals("pack")) {
             periodicCheck();
-            out.add(new Front.Sleep(PERIOD, "pack"));
+            out.add(new Front.Sleep(PERIOD * (0.5 + random.nextDouble()), "pack"));
         } else if (tag.equals("probe")) {
             probe();
             out.add(new Front.Sleep(set.see() / 3, "probe"));
