--- a/src/main/java/trestleline/Decide.java
+++ b/src/main/java/trestleline/Decide.java
@@ -42,6 +42,8 @@
     private static final int UNITS = 16;
     /** Weight, in sessions, of the even part against the number of sessions that this front sees. */
     private static final double PRIOR = 4;
+    /** How much faster the fleet's budget is regained while none of a front's sessions is short for a period. */
+    private static final double SILENCE = 4;
     /** A freed share is kept for its class for this long (ms). */
     private static final double HOLD = 500;
     /** Part of the aim after which an unanswered set-up is suspicious, and a safe one tried elsewhere. */
@@ -346,6 +348,7 @@
         }
         cut(low >= 2 && 2 * low > held ? r : at.link, share);
         fleet.budget *= 1 - (1 - share) * Math.min(1, at.link.own / Math.max(1, fleet.own));
+        fleet.shortAt = now;
         relieve(at);
     }
 
@@ -362,9 +365,10 @@
     /** Regains room after a shortage, additively; a pipe whose use is told is left to its notes. */
     private void regain(Pipe p) {
         if (p.noted && p.budget >= p.fair) return;
-        if (now - p.shortAt < set.see() + 1000) return;
+        if (p != fleet && now - p.shortAt < set.see() + 1000) return;
         if (room(p) > 0.1 * p.budget && p.budget >= p.fair) return;
         double step = REGAIN * Math.min(p.fair, p.budget) * PERIOD / 1000;
+        if (p == fleet && now - p.shortAt > set.see() + PERIOD) step *= SILENCE;
         p.budget = Math.min(2 * p.fair, p.budget + (p.budget < p.fair ? step : step / 2));
     }
 
