--- a/src/main/java/trestleline/Decide.java
+++ b/src/main/java/trestleline/Decide.java
@@ -42,7 +42,7 @@
     private static final int UNITS = 16;
     /** Weight, in sessions, of the even part against the number of sessions that this front sees. */
     private static final double PRIOR = 4;
-    /** How much faster the fleet's budget is regained while none of a front's sessions is short for a period. */
+    /** How much faster the fleet's budget is regained while no own session is short for a period. */
     private static final double SILENCE = 4;
     /** A freed share is kept for its class for this long (ms). */
     private static final double HOLD = 500;
