--- a/src/main/java/trestleline/Decide.java
+++ b/src/main/java/trestleline/Decide.java
@@ -886,12 +886,16 @@
         }
     }
 
-    /** Suspicion: no new set-ups for a while that doubles with each strike, then one safe try at a time. */
+    /**
+     * Suspicion: no new set-ups for a while that doubles with each strike, then one safe try at a time. The
+     * first while is no shorter than the mean time between own requests, or the next would go there again.
+     */
     private void suspect(Server at) {
         if (at == null || now < at.suspectUntil) return;
-        double base = PATIENCE * set.classes().get(0).aim();
+        double base = Math.max(PATIENCE * set.classes().get(0).aim(), (now - born) / Math.max(1, requests));
         at.suspectUntil = now + Math.min(set.rules().cold(), base * Math.pow(2, at.strikes));
         at.strikes++;
+        at.trust *= DISTRUST;
         at.lost |= at.strikes > 1;
     }
 
