--- a/src/main/java/trestleline/Decide.java
+++ b/src/main/java/trestleline/Decide.java
@@ -530,11 +530,13 @@
         giveUp(s);
     }
 
-    /** The highest rung that the free room allows, or -1. */
+    /**
+     * The highest rung that the free room allows, or -1. The more fronts there are the less of a pipe's use is
+     * seen, and a rung too high for a hot server costs all there more than a step up later: half the room.
+     */
     private int fitting(Session s, Server at, double reserve) {
-        for (int r = top(s); r >= terms(s).floor(); r--) {
-            if (rate(s, r) <= room(at) - reserve) return r;
-        }
+        double room = (room(at) - reserve) * (0.5 + 0.5 / Math.sqrt(set.fronts()));
+        for (int r = top(s); r >= terms(s).floor(); r--) if (rate(s, r) <= room) return r;
         return -1;
     }
 
