Switches are charged by what is unseen

A change counts for 14 x (1 - 1 / root of fronts) switches: four at two fronts as before, twelve at a hundred.

--- a/src/main/java/trestleline/Decide.java
+++ b/src/main/java/trestleline/Decide.java
@@ -32,8 +32,8 @@
     private static final double CUT = 0.97;
     /** Part of a told use that moves the budget: readings are noisy, and each swing costs two switches. */
     private static final double SMOOTH = 0.2;
-    /** Switches that one change is charged for: most are undone later. */
-    private static final double BACK = 4;
+    /** Switches that one change is charged for where nothing is seen: most are undone later. */
+    private static final double BACK = 14;
     /** Regained budget a second after shortage, as a part of the even share (the additive part of AIMD). */
     private static final double REGAIN = 0.02;
     /** Re-pack period (ms): the document's, a few adaptation operations. */
@@ -535,7 +535,7 @@
      * seen, and a rung too high for a hot server costs all there more than a step up later: half the room.
      */
     private int fitting(Session s, Server at, double reserve) {
-        double room = (room(at) - reserve) * (0.5 + 0.5 / Math.sqrt(set.fronts()));
+        double room = (room(at) - reserve) * (0.5 + 0.5 * seen());
         for (int r = top(s); r >= terms(s).floor(); r--) if (rate(s, r) <= room) return r;
         return -1;
     }
@@ -602,9 +602,14 @@
         return g.playing && g.rung > terms(g).floor();
     }
 
-    /** A switch costs the class's worth for switchS, and mostly buys the way back as well. */
+    /** What part of a pipe's doings this front may hold for known: little where many share it. */
+    private double seen() {
+        return 1 / Math.sqrt(set.fronts());
+    }
+
+    /** A switch costs the class's worth for switchS; the less is seen, the more are undone later. */
     private double switchCost(Session s) {
-        return BACK * set.ladder().switchS() * terms(s).worth();
+        return BACK * (1 - seen()) * set.ladder().switchS() * terms(s).worth();
     }
 
     private double loss(Session g, double stay) {
