--- a/src/main/java/trestleline/Decide.java
+++ b/src/main/java/trestleline/Decide.java
@@ -531,8 +531,8 @@
     }
 
     /**
-     * The highest rung that the free room allows, or -1. The more fronts there are the less of a pipe's use is
-     * seen, and a rung too high for a hot server costs all there more than a step up later: half the room.
+     * The highest rung that the free room allows, or -1. The more fronts there are the less of a pipe's use
+     * is seen; a rung too high for a hot server costs all there more than a step up later: half the room.
      */
     private int fitting(Session s, Server at, double reserve) {
         double room = (room(at) - reserve) * (0.5 + 0.5 * seen());
