--- a/src/main/java/trestleline/Decide.java
+++ b/src/main/java/trestleline/Decide.java
@@ -33,7 +33,7 @@
     /** Part of a told use that moves the budget: readings are noisy, and each swing costs two switches. */
     private static final double SMOOTH = 0.2;
     /** Switches that one change is charged for where nothing is seen: most are undone later. */
-    private static final double BACK = 14;
+    private static final double BACK = 10;
     /** Regained budget a second after shortage, as a part of the even share (the additive part of AIMD). */
     private static final double REGAIN = 0.02;
     /** Re-pack period (ms): the document's, a few adaptation operations. */
