--- a/src/main/java/trestleline/Decide.java
+++ b/src/main/java/trestleline/Decide.java
@@ -34,7 +34,7 @@
     private static final double SMOOTH = 0.2;
     /** Switches that one change is charged for where nothing is seen: most are undone later. */
     private static final double BACK = 10;
-    /** Regained budget a second after shortage, as a part of the even share (the additive part of AIMD). */
+    /** Regained budget a second after shortage, as a part of the budget (the slow climb of an AIMD). */
     private static final double REGAIN = 0.02;
     /** Re-pack period (ms): the document's, a few adaptation operations. */
     private static final double PERIOD = 4000;
@@ -123,6 +123,7 @@
     private void start() {
         started = true;
         if (set.onRequest()) subscribe();
+        // at once: sessions handed over may ask too much; uneven later, so that fronts do not act in step
         out.add(new Front.Sleep(0.1 * PERIOD * random.nextDouble(), "pack"));
         boolean pull = set.rules().probes() && set.reportVia().equals("pull");
         if (pull) out.add(new Front.Sleep(set.see() / 3, "probe"));
@@ -201,6 +202,7 @@
     }
 
     private void resize(Pipe p, double cap, double lump) {
+        // no link counts for less than a session, or many fronts would refuse on an empty fleet
         double one = p == fleet ? 0 : set.ladder().kb()[set.ladder().kb().length - 1];
         double fair = AIM * Math.min(cap, Math.max(one, cap * lump / set.fronts()));
         p.budget = p.cap > 0 ? p.budget * fair / Math.max(1e-9, p.fair) : fair;
@@ -334,7 +336,8 @@
     /**
      * A short-share note tells of about see ago: the budget is cut to what was delivered of the most asked
      * then, so that the same shortage heard again cuts no deeper. Where most servers of the rack with
-     * sessions of ours are short together it is the uplink, otherwise the link.
+     * sessions of ours are short together it is the uplink, otherwise the link. The fleet's budget loses what
+     * was not delivered: where shortage is everywhere newcomers start lower; a hot server holds all back a bit.
      */
     private void shortShare(Server at, double share) {
         if (share >= 0.98) return;
@@ -362,7 +365,7 @@
         p.shortAt = now;
     }
 
-    /** Regains room after a shortage, additively; a pipe whose use is told is left to its notes. */
+    /** Regains room after a shortage, the fleet's even during one; a told pipe is left to its notes. */
     private void regain(Pipe p) {
         if (p.noted && p.budget >= p.fair) return;
         if (p != fleet && now - p.shortAt < set.see() + 1000) return;
