--- a/src/main/java/trestleline/Decide.java
+++ b/src/main/java/trestleline/Decide.java
@@ -337,7 +337,7 @@
      * A short-share note tells of about see ago: the budget is cut to what was delivered of the most asked
      * then, so that the same shortage heard again cuts no deeper. Where most servers of the rack with
      * sessions of ours are short together it is the uplink, otherwise the link. The fleet's budget loses what
-     * was not delivered: where shortage is everywhere newcomers start lower; a hot server holds all back a bit.
+     * was not delivered: newcomers start lower where all is short; one hot server holds the rest back a bit.
      */
     private void shortShare(Server at, double share) {
         if (share >= 0.98) return;
