--- /dev/null
+++ b/src/main/java/trestleline/cli/Check.java
@@ -0,0 +1,28 @@
+package trestleline.cli;
+
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+import trestleline.config.GatewayConfig;
+import trestleline.config.Reader;
+import trestleline.rehearsal.Day;
+
+@Command(name = "check", mixinStandardHelpOptions = true,
+    description = "Checks a gateway's settings or a day; tells every error with its path.")
+final class Check implements Callable<Integer> {
+    @Spec
+    private CommandSpec spec;
+    @Parameters(paramLabel = "CONFIG", description = "a JSON5 file; one with 'gateways' is a day")
+    private Path file;
+
+    @Override
+    public Integer call() {
+        if (Reader.open(file).has("gateways")) Day.open(file);
+        else GatewayConfig.open(file);
+        spec.commandLine().getOut().println(file + ": good");
+        return 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/trestleline/cli/Main.java
@@ -0,0 +1,46 @@
+package trestleline.cli;
+
+import java.io.IOException;
+import java.util.Arrays;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import trestleline.config.ConfigException;
+
+/** The command line. Exit codes: 0 done, 1 the work went wrong or a rule broke, 2 wrong use or settings. */
+@Command(name = "trestleline", mixinStandardHelpOptions = true, version = "trestleline 0.2.0",
+    description = "A session front: places video sessions on media hosts and shapes them there.",
+    subcommands = {Serve.class, Standin.class, Rehearse.class, Check.class, Drill.class})
+public final class Main implements Runnable {
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    @Override
+    public void run() {
+        throw new CommandLine.ParameterException(spec.commandLine(), "a sub-command is needed");
+    }
+
+    /** Runs one sub-command. The bench's adapter is started without the rest: its time is measured. */
+    public static void main(String[] args) throws IOException {
+        if (args.length > 0 && args[0].equals("drill") && !Arrays.asList(args).contains("--help")) {
+            trestleline.drill.Main.main(args);
+            return;
+        }
+        int code = run(args);
+        if (code != 0) System.exit(code);
+    }
+
+    /** Runs and returns the exit code; for tests. */
+    public static int run(String... args) {
+        var line = new CommandLine(new Main());
+        line.setExecutionExceptionHandler((e, commandLine, result) -> {
+            if (e instanceof ConfigException c) {
+                commandLine.getErr().println("trestleline: " + c.getMessage());
+                c.errors().forEach(m -> commandLine.getErr().println("  " + m));
+                return 2;
+            }
+            commandLine.getErr().println("trestleline: " + e);
+            return 1;
+        });
+        return line.execute(args);
+    }
+}
--- /dev/null
+++ b/src/main/java/trestleline/cli/Standin.java
@@ -0,0 +1,40 @@
+package trestleline.cli;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+import trestleline.core.WallClock;
+import trestleline.rehearsal.Day;
+import trestleline.rehearsal.Fleet;
+import trestleline.standin.MediaHost;
+import trestleline.standin.Trace;
+
+@Command(name = "standin", mixinStandardHelpOptions = true,
+    description = "Runs a day's stand-in media hosts and list, without its gateways and viewers, until ended.")
+final class Standin implements Callable<Integer> {
+    @Spec
+    private CommandSpec spec;
+    @Parameters(paramLabel = "CONFIG", description = "a day, JSON5")
+    private Path file;
+
+    @Override
+    public Integer call() throws Exception {
+        Day day = Day.open(file);
+        Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+        var fleet = new Fleet(day, vertx, Trace.none(), new WallClock());
+        fleet.start().toCompletionStage().toCompletableFuture().get(30, TimeUnit.SECONDS);
+        var out = spec.commandLine().getOut();
+        for (MediaHost h : fleet.hosts()) out.println(h.spec().name() + " 127.0.0.1:" + h.port());
+        out.println("list " + fleet.feed().url("NUMBER"));
+        out.flush();
+        new CountDownLatch(1).await();
+        return 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/trestleline/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command line. */
+package trestleline.cli;
--- /dev/null
+++ b/src/main/java/trestleline/config/GatewayConfig.java
@@ -0,0 +1,150 @@
+package trestleline.config;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import trestleline.Front;
+
+/**
+ * All settings of one gateway. Times are milliseconds unless a name ends in {@code S} (seconds); rates are kB a second.
+ *
+ */
+public record GatewayConfig(Front.Settings settings, Listen listen, Source list, Media media, Limits limits,
+                            Map<String, Title> titles, String handover) {
+    private static final String NAME = "[A-Za-z0-9][A-Za-z0-9_-]{0,63}", NAMED = "a name of letters, digits, - and _";
+    private static final double INF = Double.POSITIVE_INFINITY;
+
+    /** Where viewers are served; port 0 lets the system choose. */
+    public record Listen(String host, int port) { }
+
+    /** Where the list of hosts comes from, and the file that keeps the last one; {@code saved} empty: none is kept. */
+    public record Source(String url, String saved, double retryFrom, double retryTo) { }
+
+    /** Media: segment length in seconds, and how long the gateway waits on a host that sends none. */
+    public record Media(double segmentS, double silentMs) { }
+
+    /** Bounds on what viewers may use up. */
+    public record Limits(int connections, int open, double headMs, double idleMs, double marginMs, double bufferMs,
+                         int headBytes) { }
+
+    /** A title: its number for the module, its length, and the cells that hold it. */
+    public record Title(String name, long number, double seconds, int home, int holders) { }
+
+    /** Reads and checks a file. */
+    public static GatewayConfig open(Path path) {
+        Reader r = Reader.open(path);
+        GatewayConfig c = read(r);
+        r.finish();
+        return c;
+    }
+
+    /** Reads from an open reader; its errors are told by {@link Reader#finish}. */
+    public static GatewayConfig read(Reader r) {
+        Front.Settings settings = settings(r);
+        Reader li = r.object("listen");
+        var listen = new Listen(loopback(li, "host", "127.0.0.1"), li.whole("port", 0, 65535, 0));
+        Reader l = r.object("list");
+        var list = new Source(l.text("url", "http://(127\\.0\\.0\\.1|localhost):\\d{1,5}/\\S*",
+            "an address like http://127.0.0.1:9000/hosts"), l.text("saved", ".+", "a file", ""),
+            l.num("retryFrom", 1, INF, 100), l.num("retryTo", 1, INF, 3000));
+        Reader m = r.object("media");
+        var media = new Media(m.num("segmentS", 0.1, 60, 2), m.num("silentMs", 50, INF, 3000));
+        Reader b = r.object("limits");
+        var limits = new Limits(b.whole("connections", 1, 1_000_000, 10_000), b.whole("open", 1, 1_000_000, 20_000),
+            b.num("headMs", 50, INF, 5000), b.num("idleMs", 1000, INF, 30_000), b.num("marginMs", 0, 10_000, 60),
+            b.num("bufferMs", 0, 600_000, 6000), b.whole("headBytes", 512, 65536, 8192));
+        Map<String, Title> titles = new HashMap<>();
+        for (Title t : r.objects("titles", 1, t -> title(t, settings.fleet().places()))) {
+            if (titles.put(t.name(), t) != null) r.error("titles", "two are named '" + t.name() + "'");
+        }
+        String handover = r.text("handover", ".+", "a file", "");
+        return new GatewayConfig(settings, listen, list, media, limits, titles, handover);
+    }
+
+    /** An address on the loopback interface: nothing here serves beyond this machine. */
+    static String loopback(Reader r, String field, String absent) {
+        return r.text(field, "127\\.\\d{1,3}\\.\\d{1,3}\\.\\d{1,3}|localhost", "a loopback address", absent);
+    }
+
+    private static Title title(Reader t, int places) {
+        String name = t.text("name", NAME, NAMED);
+        return new Title(name, number(name), t.num("seconds", 0.1, 86400), t.whole("home", 0, 1_000_000),
+            t.whole("holders", 1, places));
+    }
+
+    /** A stable number under 2^53 for a name; FNV-1a, so that all gateways agree without a table. */
+    public static long number(String name) {
+        long h = 0xcbf29ce484222325L;
+        for (int i = 0; i < name.length(); i++) h = (h ^ name.charAt(i)) * 0x100000001b3L;
+        return (h ^ h >>> 32) & (1L << 53) - 1;
+    }
+
+    private static Front.Settings settings(Reader r) {
+        int me = r.whole("me", 0, 1_000_000, 0), fronts = r.whole("fronts", 1, 1_000_000);
+        if (me >= fronts) r.error("me", "is " + me + "; expected less than fronts");
+        String zone = r.text("zone", NAME, NAMED);
+        Reader l = r.object("ladder");
+        double[] kb = l.nums("kb", 0.001, 1), worth = l.nums("worth", 0, 1);
+        if (worth.length != kb.length) l.error("worth", "has " + worth.length + " values; expected " + kb.length);
+        for (int i = 1; i < kb.length; i++) {
+            if (kb[i] <= kb[i - 1]) l.error("kb[" + i + "]", "is not above the one before; expected rising rates");
+        }
+        var ladder = new Front.Ladder(kb, worth, l.num("switchS", 0, INF, 0.5), l.num("shortfallCost", 0, INF, 8),
+            l.num("joinAdds", 0, 1, 1));
+        List<Front.Terms> classes = r.objects("classes", 1, c -> terms(c, kb.length));
+        distinct(r, "classes", classes.stream().map(Front.Terms::name).toList());
+        List<Front.Account> tenants = r.objects("tenants", 1, t -> new Front.Account(t.text("name", NAME, NAMED),
+            t.num("quotaPerS", 0, INF, 0), t.num("fraction", 0, 1, 1)));
+        distinct(r, "tenants", tenants.stream().map(Front.Account::name).toList());
+        Reader f = r.object("fleet");
+        List<String> kinds = new ArrayList<>();
+        List<Integer> slots = new ArrayList<>();
+        f.objects("kinds", 1, k -> {
+            kinds.add(k.text("name", NAME, NAMED));
+            slots.add(k.whole("slots", 1, 1_000_000));
+            return k;
+        });
+        int places = f.whole("places", 1, 1_000_000), racks = f.whole("racks", 1, 1_000_000);
+        double unit = f.num("linkUnitKb", 0.001, INF);
+        var fleet = new Front.Fleet(places, racks, f.num("linksKb", 0.001, INF, unit * places),
+            f.num("rackLinkKb", 0.001, INF), unit, kinds, slots.stream().mapToInt(i -> i).toArray(),
+            f.num("guard", 0, INF, 0), f.oneOf("weightKind", List.of("silent", "nominal", "rough", "live"), "silent"));
+        Reader x = r.object("rules");
+        var rules = new Front.Rules(x.num("graceToAnswer", 0, INF, 40), x.num("askEvery", 0, INF, 0),
+            x.num("freeResends", 0, INF, 0), x.num("extraShare", 0, INF, 0), x.num("extraWindow", 0, INF, 0),
+            x.num("coldShare", 0.01, 1, 0.4), x.num("cold", 0, INF, 10_000), x.num("drainGrace", 1, INF, 500),
+            x.num("overloadFactor", 0.1, INF, 2), x.num("fall", 1, INF, 1000), x.whole("sendCap", 1, 100, 5),
+            x.flag("cancel", true), x.flag("probes", false), x.flag("retryAfter", true),
+            x.num("maxRetryAfter", 0, INF, 2000), x.num("connectTimeout", 1, INF, 250));
+        Reader p = r.object("prices");
+        var prices = new Front.Prices(p.num("crossZone", 0, INF, 0), p.num("probe", 0, INF, 0.01),
+            p.num("moves", 0, INF, 0.2), p.num("lateFail", 0, INF, 0.05), p.num("discovery", 0, INF, 0));
+        Reader o = r.object("report");
+        return new Front.Settings(me, fronts, zone, 10, r.oneOf("discovery", List.of("pushed", "on_request"),
+            "pushed").equals("on_request"), o.num("see", 1, INF, 1000), o.num("toldEvery", 0, INF, 0),
+            o.texts("fields", List.of()), o.oneOf("via", List.of("silent", "piggyback", "pull"), "silent"), classes,
+            tenants, r.num("overShareWorth", 0, 1, 0.1), ladder, fleet, rules, prices);
+    }
+
+    private static void distinct(Reader r, String field, List<String> names) {
+        Set<String> seen = new HashSet<>();
+        for (String n : names) if (!seen.add(n)) r.error(field, "two are named '" + n + "'");
+    }
+
+    private static Front.Terms terms(Reader c, int rungs) {
+        double aim = c.num("aim", 1, INF), deadline = c.num("deadline", 1, INF);
+        if (deadline < aim) c.error("deadline", "is less than aim");
+        int top = c.whole("top", 0, rungs - 1, rungs - 1), floor = c.whole("floor", 0, rungs - 1, 0);
+        if (floor > top) c.error("floor", "is above top");
+        return new Front.Terms(c.text("name", NAME, NAMED), aim, 0, deadline,
+            Front.Effect.valueOf(c.oneOf("effect", List.of("pure", "token", "side_effect"), null)
+                .toUpperCase(Locale.ROOT)), c.oneOf("group", List.of("all", "zone", "cell"), "all"),
+            c.num("dedupWindow", 0, INF, 0), c.num("worth", 0, INF), floor, top, c.num("rateFactor", 0.001, INF, 1),
+            c.whole("seats", 0, 1_000_000, 0), c.flag("live", false));
+    }
+}
--- /dev/null
+++ b/src/main/java/trestleline/config/package-info.java
@@ -0,0 +1,2 @@
+/** Settings files: JSON5, checked whole, every error told with its path. */
+package trestleline.config;
--- /dev/null
+++ b/src/main/java/trestleline/core/Gateway.java
@@ -0,0 +1,405 @@
+package trestleline.core;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.DoubleSupplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import trestleline.Decide;
+import trestleline.Front;
+
+/**
+ * One gateway: owns one {@link Decide}, tells it what happens and carries out what it decides, in order. It knows no
+ * protocol and decides nothing. Not thread-safe: every call must come on one event loop. Memory is bounded by the
+ * requests and sessions that are live.
+ */
+public final class Gateway {
+    private static final Logger LOG = LoggerFactory.getLogger(Gateway.class);
+    /** A request that the module left unanswered is failed so long (ms) after its time: a rule is broken already. */
+    private static final double OVERDUE = 20;
+
+    private final Front.Settings settings;
+    private final Decide module;
+    private final DoubleSupplier clock;
+    private final Timers timers;
+    private final Hosts hosts;
+    private final Directory directory;
+    private final String idPrefix;
+    private final double margin;
+    private final Intake intake;
+    private final Roster roster = new Roster();
+    private final Map<Long, Entry> entries = new LinkedHashMap<>();
+    private long nextReq = 1;
+    private long asked, granted, refused, failed, left, attempts, dropped, overdue, bugs;
+    private int playing;
+    private boolean stopped;
+
+    /** One request from its arrival until it is answered, its attempts are over and its session has ended. */
+    private static final class Entry {
+        final Front.Ask ask;
+        final Front.Terms terms;
+        final double deadline;
+        Viewer viewer;
+        int shot = -1, rung;
+        Attempt attempt;
+        Hosts.Flight flight;
+        double sentAt;
+        Session session;
+
+        Entry(Front.Ask ask, Front.Terms terms, double deadline, Viewer viewer) {
+            this.ask = ask;
+            this.terms = terms;
+            this.deadline = deadline;
+            this.viewer = viewer;
+            this.rung = terms.floor();
+        }
+    }
+
+    /**
+     * @param generation unlike that of any earlier start of this gateway; part of every attempt's id
+     * @param marginMs taken off each deadline, so that the answer has reached the viewer by then
+     */
+    public Gateway(Front.Settings settings, long seed, String generation, double marginMs, DoubleSupplier clock,
+                   Timers timers, Hosts hosts, Directory directory) {
+        this.settings = settings;
+        this.clock = clock;
+        this.timers = timers;
+        this.hosts = hosts;
+        this.directory = directory;
+        this.margin = marginMs;
+        idPrefix = settings.me() + "-" + generation + "-";
+        intake = new Intake(clock);
+        module = new Decide(settings, seed, clock.getAsDouble());
+        timers.after(Intake.BEAT, this::beat);
+    }
+
+    private void beat() {
+        if (stopped) return;
+        timers.after(intake.beat(), this::beat);
+    }
+
+    // ---- what fronts tell ----
+
+    /**
+     * A viewer asks for a session. The time to answer is its class's deadline less the margin, and less what it may
+     * have waited unread while the loop stood still.
+     *
+     * @param ask all but {@code req} and {@code ttl}, which are set here
+     * @return the id of the request, for {@link #leave}
+     */
+    public long request(Front.Ask ask, Viewer viewer) {
+        long req = nextReq++;
+        Front.Terms terms = terms(ask.service());
+        double now = clock.getAsDouble(), ttl = Math.max(1, terms.deadline() - margin - intake.lag());
+        var full = new Front.Ask(req, ask.service(), ask.tenant(), ask.key(), ask.title(), ttl, ask.hint(), ask.home(),
+            ask.holders(), ask.top(), ask.marks());
+        var e = new Entry(full, terms, now + ttl, viewer);
+        entries.put(req, e);
+        asked++;
+        timers.after(ttl + OVERDUE, () -> intake.add(Intake.Kind.REST, () -> overdue(e)));
+        intake.add(Intake.Kind.REST, () -> {
+            if (e.viewer == null) return;
+            double waited = clock.getAsDouble() - now;
+            feed(new Front.NewRequest(waited < 1 ? full : withTtl(full, Math.max(0, ttl - waited))));
+        });
+        return req;
+    }
+
+    private static Front.Ask withTtl(Front.Ask a, double ttl) {
+        return new Front.Ask(a.req(), a.service(), a.tenant(), a.key(), a.title(), ttl, a.hint(), a.home(), a.holders(),
+            a.top(), a.marks());
+    }
+
+    private Front.Terms terms(String service) {
+        for (Front.Terms t : settings.classes()) if (t.name().equals(service)) return t;
+        throw new IllegalArgumentException("no class named '" + service + "'");
+    }
+
+    /** The viewer of an unanswered request went away. */
+    public void leave(long req) {
+        Entry e = entries.get(req);
+        if (e == null || e.viewer == null || e.session != null) return;
+        e.viewer = null;
+        left++;
+        intake.add(Intake.Kind.REST, () -> {
+            if (entries.get(req) != e) return;
+            feed(new Front.CancelledByClient(req));
+            if (e.attempt == null) entries.remove(req);
+        });
+    }
+
+    /** A playing session ended; its share at the host is freed. Repeating it does nothing. */
+    public void end(Session session, End why) {
+        if (!session.open) return;
+        session.open = false;
+        playing--;
+        Entry e = entries.remove(session.ask().req());
+        if (e == null) return;
+        hosts.release(session.attempt());
+        Viewer viewer = e.viewer;
+        intake.add(Intake.Kind.ANSWER, () -> {
+            long req = session.ask().req();
+            Outcome outcome = switch (why) {
+                case PLAYED_OUT -> Outcome.OK;
+                case HOST_LOST -> Outcome.RESET_BY_PEER;
+                case HOST_SILENT -> Outcome.TIMED_OUT;
+                case VIEWER_GONE, MOVED, SHUTDOWN -> Outcome.CANCELED;
+            };
+            if (why == End.VIEWER_GONE) feed(new Front.CancelledByClient(req));
+            feed(new Front.Result(req, session.attempt().shot(), session.host(),
+                clock.getAsDouble() - session.startedAt(), true, outcome.code(), Map.of()));
+        });
+        if (why != End.VIEWER_GONE) viewer.ended(session, why);
+    }
+
+    /** A session that an earlier process of this gateway handed over: it plays on, at the rung it had. */
+    public Session resume(Open open, Viewer viewer) {
+        long req = nextReq++;
+        Front.Ask a = open.ask();
+        var ask = new Front.Ask(req, a.service(), a.tenant(), a.key(), a.title(), a.ttl(), a.hint(), a.home(),
+            a.holders(), a.top(), a.marks());
+        Front.Terms terms = terms(a.service());
+        var e = new Entry(ask, terms, Double.POSITIVE_INFINITY, viewer);
+        e.shot = 0;
+        e.rung = open.rung();
+        e.session = new Session(new Attempt(open.attempt(), ask, terms, 0, open.host(), open.rung(), 0), open.rung(),
+            clock.getAsDouble());
+        entries.put(req, e);
+        playing++;
+        intake.add(Intake.Kind.ANSWER, () -> {
+            feed(new Front.AlreadyOpen(ask, open.host()));
+            feed(new Front.Note(req, 0, open.host(), 2, open.rung()));
+        });
+        return e.session;
+    }
+
+    /** What plays, for the next process. */
+    public Open handOver(Session s) {
+        return new Open(s.ask(), s.host(), s.attempt().id(), s.rung());
+    }
+
+    // ---- what the list and the hosts tell ----
+
+    /** The list of hosts, or changes to it, or that its source broke. Takes effect before anything that waits. */
+    public void update(Front.Update update) {
+        roster.apply(update);
+        intake.add(Intake.Kind.LIST, () -> feed(update));
+    }
+
+    /** News on a playing session from its host: kinds as in {@link Front.Note}. */
+    public void note(Session session, int sort, double value) {
+        if (!session.open) return;
+        intake.add(Intake.Kind.ANSWER, () -> {
+            if (session.open) {
+                feed(new Front.Note(session.ask().req(), session.attempt().shot(), session.host(), sort, value));
+            }
+        });
+    }
+
+    /** Counters and sizes, for the operator. */
+    public Counts counts() {
+        return new Counts(asked, granted, refused, failed, left, attempts, dropped, overdue, bugs, intake.stalls(),
+            entries.size() - playing, playing, roster.size(), roster.version());
+    }
+
+    /** How long (ms) the loop may just have stood still; 0 while it keeps time. */
+    public double lag() {
+        return intake.lag();
+    }
+
+    /** No more timers; open requests are failed, so that none is left without its answer. */
+    public void stop() {
+        stopped = true;
+        for (Entry e : new ArrayList<>(entries.values())) {
+            if (e.session != null) end(e.session, End.SHUTDOWN);
+            else if (e.viewer != null) {
+                failed++;
+                answer(e).failed();
+            }
+            if (e.flight != null) e.flight.abandon();
+        }
+        entries.clear();
+    }
+
+    /** Does nothing from now on, as if dead: nothing is answered, sent or freed. */
+    public void halt() {
+        stopped = true;
+        entries.clear();
+    }
+
+    /** Stops without ending what plays: the next process goes on with it. Open requests are failed. */
+    public void leaveOpen() {
+        entries.values().removeIf(e -> e.session != null);
+        stop();
+    }
+
+    // ---- the module ----
+
+    private void feed(Front.Event event) {
+        if (stopped) return;
+        List<Front.Action> actions;
+        try {
+            actions = module.on(clock.getAsDouble(), event);
+        } catch (RuntimeException e) {
+            bugs++;
+            LOG.atError().setCause(e).addKeyValue("event", event).log("the decision module threw");
+            return;
+        }
+        for (Front.Action action : actions) carryOut(action);
+    }
+
+    private void carryOut(Front.Action action) {
+        if (action instanceof Front.Transmit a) transmit(a);
+        else if (action instanceof Front.Rate a) rate(a);
+        else if (action instanceof Front.Sleep a) {
+            timers.after(a.in(), () -> intake.add(Intake.Kind.REST, () -> feed(new Front.Due(a.tag()))));
+        } else if (action instanceof Front.NotNow a) refuse(a);
+        else if (action instanceof Front.Fail a) fail(a.req());
+        else if (action instanceof Front.Check a) check(a.host());
+        else if (action instanceof Front.Cancel a) cancel(a);
+        else if (action instanceof Front.Evict a) evict(a.req());
+        else if (action instanceof Front.HangUp a) hosts.hangUp(a.host());
+        else if (action instanceof Front.Listen a) directory.listen(a.want());
+        else if (action instanceof Front.Refresh) directory.refresh();
+        else if (action instanceof Front.Trace a) LOG.atInfo().addKeyValue("text", a.text()).log("module");
+    }
+
+    private void transmit(Front.Transmit a) {
+        Entry e = entries.get(a.req());
+        if (e == null || e.attempt != null || e.session != null) {
+            bugs++;
+            LOG.atError().addKeyValue("req", a.req()).log("a set-up for a request that wants none");
+            return;
+        }
+        double now = clock.getAsDouble();
+        double until = a.expireAt() > 0 ? Math.min(a.expireAt(), e.deadline) : e.deadline;
+        e.shot++;
+        var attempt = new Attempt(idPrefix + a.req() + "-" + e.shot, e.ask, e.terms, e.shot, a.host(), e.rung, until);
+        e.attempt = attempt;
+        e.sentAt = now;
+        attempts++;
+        timers.after(until - now, () -> intake.add(Intake.Kind.REST, () -> {
+            if (e.attempt != attempt) return;
+            e.flight.abandon();
+            over(e, attempt, Outcome.TIMED_OUT, Map.of());
+        }));
+        e.flight = hosts.setUp(attempt, new Hosts.Back() {
+            @Override
+            public Hosts.Go beforeWrite() {
+                return mayWrite(e, attempt);
+            }
+
+            @Override
+            public void playing(Map<String, Double> report) {
+                intake.add(Intake.Kind.ANSWER, () -> started(e, attempt, report));
+            }
+
+            @Override
+            public void over(Outcome outcome, Map<String, Double> report) {
+                intake.add(Intake.Kind.ANSWER, () -> Gateway.this.over(e, attempt, outcome, report));
+            }
+        });
+    }
+
+    /**
+     * The last check, next to the write: connecting takes time, and meanwhile the host may have been told gone, the
+     * viewer may have left, the time may be up. While the loop is late the list may lie unread in its socket.
+     */
+    private Hosts.Go mayWrite(Entry e, Attempt attempt) {
+        boolean wanted = !stopped && e.attempt == attempt && e.viewer != null;
+        if (wanted && intake.lag() > 0) return Hosts.Go.WAIT;
+        if (wanted && clock.getAsDouble() < attempt.expireAt() && roster.takesNew(attempt.host())) return Hosts.Go.WRITE;
+        dropped++;
+        return Hosts.Go.DROP;
+    }
+
+    private void started(Entry e, Attempt attempt, Map<String, Double> report) {
+        if (e.attempt != attempt) {
+            hosts.release(attempt);
+            return;
+        }
+        if (e.viewer == null) {
+            hosts.release(attempt);
+            over(e, attempt, Outcome.OK, report);
+            return;
+        }
+        e.attempt = null;
+        e.session = new Session(attempt, e.rung, clock.getAsDouble());
+        playing++;
+        feed(new Front.HeadReceived(e.ask.req(), attempt.shot(), attempt.host(), clock.getAsDouble() - e.sentAt));
+        granted++;
+        e.viewer.granted(e.session);
+        Double x0 = report.get("x0"), x1 = report.get("x1");
+        if (x0 != null) note(e.session, 3, x0);
+        if (x1 != null) note(e.session, 4, x1);
+    }
+
+    private void over(Entry e, Attempt attempt, Outcome outcome, Map<String, Double> report) {
+        if (e.attempt != attempt) return;
+        e.attempt = null;
+        e.flight = null;
+        boolean concluded = e.viewer == null;
+        if (concluded) entries.remove(e.ask.req());
+        feed(new Front.Result(e.ask.req(), attempt.shot(), attempt.host(), clock.getAsDouble() - e.sentAt, concluded,
+            outcome.code(), report));
+    }
+
+    private void rate(Front.Rate a) {
+        Entry e = entries.get(a.req());
+        if (e == null) return;
+        e.rung = a.rung();
+        if (e.session != null) e.session.rung = a.rung();
+    }
+
+    /** The viewer to answer, once: it is no longer there for a second answer. */
+    private static Viewer answer(Entry e) {
+        Viewer viewer = e.viewer;
+        e.viewer = null;
+        return viewer;
+    }
+
+    private void refuse(Front.NotNow a) {
+        Entry e = entries.get(a.req());
+        if (e == null || e.viewer == null || e.session != null) return;
+        refused++;
+        if (e.attempt == null) entries.remove(a.req());
+        answer(e).refused(settings.rules().retryAfter() ? a.comeBack() : 0);
+    }
+
+    private void fail(long req) {
+        Entry e = entries.get(req);
+        if (e == null || e.viewer == null || e.session != null) return;
+        failed++;
+        if (e.attempt == null) entries.remove(req);
+        answer(e).failed();
+    }
+
+    private void overdue(Entry e) {
+        if (stopped || e.viewer == null || e.session != null) return;
+        overdue++;
+        LOG.atError().addKeyValue("req", e.ask.req()).log("left unanswered by the module; failed");
+        fail(e.ask.req());
+        feed(new Front.CancelledByClient(e.ask.req()));
+    }
+
+    private void check(String host) {
+        double from = clock.getAsDouble();
+        hosts.probe(host, (ok, report) -> intake.add(Intake.Kind.ANSWER, () -> feed(new Front.StatusBack(host,
+            ok ? "Ok" : "TimedOut", clock.getAsDouble() - from, report))));
+    }
+
+    private void cancel(Front.Cancel a) {
+        Entry e = entries.get(a.req());
+        if (e == null || e.attempt == null || e.attempt.shot() != a.shot()) return;
+        Attempt attempt = e.attempt;
+        e.flight.abandon();
+        intake.add(Intake.Kind.ANSWER, () -> over(e, attempt, Outcome.CANCELED, Map.of()));
+    }
+
+    private void evict(long req) {
+        Entry e = entries.get(req);
+        if (e != null && e.session != null) end(e.session, End.MOVED);
+    }
+}
--- /dev/null
+++ b/src/main/java/trestleline/core/Hosts.java
@@ -0,0 +1,40 @@
+package trestleline.core;
+
+import java.util.Map;
+
+/** The media hosts as the core sees them. All calls and call-backs are on the gateway's event loop. */
+public interface Hosts {
+    /** What may happen to a set-up whose connection is ready: the check next to the write. */
+    enum Go { WRITE, WAIT, DROP }
+
+    /** Told of a set-up. {@link #playing} or {@link #over} is called once, unless the flight is abandoned. */
+    interface Back {
+        /** Asked right before the first byte is written; {@code WAIT} means: ask again a little later. */
+        Go beforeWrite();
+
+        void playing(Map<String, Double> report);
+
+        void over(Outcome outcome, Map<String, Double> report);
+    }
+
+    /** A set-up under way. */
+    interface Flight {
+        /** No longer waited for. What may have run by then is freed at the host; no call-back follows. */
+        void abandon();
+    }
+
+    /** Told of a probe, once. {@code ok} false: no answer in time, or none that can be read. */
+    interface ProbeBack {
+        void answered(boolean ok, Map<String, Double> report);
+    }
+
+    Flight setUp(Attempt attempt, Back back);
+
+    void probe(String host, ProbeBack back);
+
+    /** Frees at its host whatever the attempt holds there; may be repeated. */
+    void release(Attempt attempt);
+
+    /** Closes idle connections to the host. */
+    void hangUp(String host);
+}
--- /dev/null
+++ b/src/main/java/trestleline/core/Session.java
@@ -0,0 +1,47 @@
+package trestleline.core;
+
+import trestleline.Front;
+
+/** A session that plays. The rung in force may change at any time; a front reads it before each piece of media. */
+public final class Session {
+    private final Attempt attempt;
+    private final double startedAt;
+    int rung;
+    boolean open = true;
+
+    Session(Attempt attempt, int rung, double startedAt) {
+        this.attempt = attempt;
+        this.rung = rung;
+        this.startedAt = startedAt;
+    }
+
+    /** The attempt that set it up; its id names the session at the host. */
+    public Attempt attempt() {
+        return attempt;
+    }
+
+    /** The viewer's request. */
+    public Front.Ask ask() {
+        return attempt.ask();
+    }
+
+    /** The host that plays it. */
+    public String host() {
+        return attempt.host();
+    }
+
+    /** The rung in force, an index into the ladder. */
+    public int rung() {
+        return rung;
+    }
+
+    /** Clock reading (ms) when it began to play. */
+    public double startedAt() {
+        return startedAt;
+    }
+
+    /** False once it ended; nothing may be fetched for it then. */
+    public boolean open() {
+        return open;
+    }
+}
--- /dev/null
+++ b/src/main/java/trestleline/daemon/GatewayNode.java
@@ -0,0 +1,131 @@
+package trestleline.daemon;
+
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import trestleline.config.GatewayConfig;
+import trestleline.core.Counts;
+import trestleline.core.Gateway;
+import trestleline.core.Timers;
+import trestleline.core.WallClock;
+import trestleline.hosts.HostClient;
+import trestleline.http.HttpFront;
+import trestleline.listing.ListClient;
+import trestleline.listing.Listed;
+
+/** One running gateway: core, front, host client and list on one event loop of its own. */
+public final class GatewayNode {
+    private static final Logger LOG = LoggerFactory.getLogger(GatewayNode.class);
+    private final GatewayConfig config;
+    private final Vertx vertx;
+    private final Context loop;
+    private Gateway gateway;
+    private HttpFront front;
+    private ListClient list;
+
+    public GatewayNode(GatewayConfig config) {
+        this.config = config;
+        vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(2)
+            .setInternalBlockingPoolSize(2));
+        loop = vertx.getOrCreateContext();
+    }
+
+    /** Reads what an earlier process left, then serves; the result is the port. */
+    public Future<Integer> start() {
+        Promise<Integer> port = Promise.promise();
+        var random = new SecureRandom();
+        long seed = random.nextLong();
+        String generation = Long.toString(System.currentTimeMillis(), 36);
+        LOG.atInfo().addKeyValue("gateway", config.settings().me()).addKeyValue("seed", seed).log("starting");
+        loop.runOnContext(v -> {
+            var clock = new WallClock();
+            Timers timers = (ms, task) -> vertx.setTimer(Math.max(1, (long) Math.ceil(ms)), t -> task.run());
+            var hosts = new HostClient(vertx, config.settings(), config.media().silentMs(), clock);
+            list = new ListClient(vertx, config, hosts, u -> gateway.update(u), random.nextLong());
+            gateway = new Gateway(config.settings(), seed, generation, config.limits().marginMs(), clock, timers, hosts,
+                list);
+            hosts.attach(gateway);
+            front = new HttpFront(vertx, config, gateway, hosts, clock);
+            record Left(Listed.Line list, List<HttpFront.HandedOver> open) { }
+            vertx.executeBlocking(() -> new Left(list.readSaved(), Handover.take(handoverFile()))).compose(left -> {
+                list.start(left.list());
+                int resumed = 0;
+                for (HttpFront.HandedOver h : left.open()) if (front.resume(h)) resumed++;
+                if (resumed > 0) LOG.atInfo().addKeyValue("sessions", resumed).log("taken over");
+                return front.start();
+            }).onComplete(port);
+        });
+        return port.future().onSuccess(p -> LOG.atInfo().addKeyValue("gateway", config.settings().me())
+            .addKeyValue("port", p).log("listening"));
+    }
+
+    private Path handoverFile() {
+        return config.handover().isEmpty() ? null : Path.of(config.handover());
+    }
+
+    /** Takes no new sessions from now on. */
+    public void drain() {
+        loop.runOnContext(v -> front.drain());
+    }
+
+    /** Ends in order: open requests are answered, what plays is handed over where a file for that is set. */
+    public Future<Void> stop() {
+        Promise<Void> done = Promise.promise();
+        loop.runOnContext(v -> {
+            front.drain();
+            List<HttpFront.HandedOver> open = handoverFile() == null ? List.of() : front.handOver();
+            vertx.executeBlocking(() -> Handover.leave(handoverFile(), open)).onComplete(written -> {
+                if (written.failed()) LOG.atError().setCause(written.cause()).log("sessions not handed over");
+                list.close();
+                if (open.isEmpty() || written.failed()) gateway.stop();
+                else gateway.leaveOpen();
+                // closed from outside: the loop that closes itself can tell nobody that it is done
+                front.stop().onComplete(x -> new Thread(() -> vertx.close().onComplete(done)).start());
+            });
+        });
+        return done.future();
+    }
+
+    /** Ends as a crash does: sockets close, nothing is answered or handed over. */
+    public Future<Void> kill() {
+        loop.runOnContext(v -> {
+            if (gateway != null) gateway.halt();
+        });
+        return vertx.close();
+    }
+
+    /** Holds the event loop still, as a long pause of the process would; for rehearsals. Done when it runs again. */
+    public Future<Void> stall(long ms) {
+        Promise<Void> over = Promise.promise();
+        loop.runOnContext(v -> {
+            try {
+                Thread.sleep(ms);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            over.complete();
+        });
+        return over.future();
+    }
+
+    /** Counters, read on the loop. */
+    public Future<Counts> counts() {
+        Promise<Counts> p = Promise.promise();
+        loop.runOnContext(v -> p.complete(gateway.counts()));
+        return p.future();
+    }
+
+    /** Requests and sessions that the front holds, read on the loop. */
+    public Future<Integer> held() {
+        Promise<Integer> p = Promise.promise();
+        loop.runOnContext(v -> p.complete(front.held()));
+        return p.future();
+    }
+}
--- /dev/null
+++ b/src/main/java/trestleline/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** A whole gateway put together from its parts. */
+package trestleline.daemon;
--- /dev/null
+++ b/src/main/java/trestleline/hosts/HostClient.java
@@ -0,0 +1,335 @@
+package trestleline.hosts;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClientAgent;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.DoubleSupplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import trestleline.Front;
+import trestleline.core.Attempt;
+import trestleline.core.End;
+import trestleline.core.Gateway;
+import trestleline.core.Hosts;
+import trestleline.core.Outcome;
+import trestleline.core.Session;
+import trestleline.hints.Cmsd;
+
+/**
+ * The gateway's side towards media hosts, over HTTP/1.1 (docs/wire.md). What proves that a set-up never ran: no byte of
+ * it was written, or the host refused it by name. Anything else after the first byte - a reset, a time-out, an error, an
+ * answer for another attempt - proves nothing, on a new connection as on a reused one. The client library neither
+ * repeats requests nor follows redirects here.
+ */
+public final class HostClient implements Hosts {
+    /** Names the attempt that an answer is about. */
+    public static final String ATTEMPT = "Trestleline-Attempt";
+    /** {@code never}: the host did not and will not run the attempt. */
+    public static final String RAN = "Trestleline-Ran";
+    private static final Logger LOG = LoggerFactory.getLogger(HostClient.class);
+    private static final int RELEASE_TRIES = 3, CONNECTIONS = 2048;
+    /** Idle connections are closed here (s) before hosts close them, so that few set-ups meet a closing one. */
+    private static final int KEEP_ALIVE = 10;
+
+    private final Vertx vertx;
+    private final Front.Rules rules;
+    private final Notes notes;
+    private final boolean answersReport;
+    private final double silentMs;
+    private final DoubleSupplier clock;
+    private final Map<String, Link> links = new HashMap<>();
+    private Gateway gateway;
+
+    private static final class Link {
+        final String ip;
+        final int port;
+        HttpClientAgent client;
+        int busy;
+        boolean listed = true;
+
+        Link(String ip, int port) {
+            this.ip = ip;
+            this.port = port;
+        }
+    }
+
+    public HostClient(Vertx vertx, Front.Settings settings, double silentMs, DoubleSupplier clock) {
+        this.vertx = vertx;
+        this.rules = settings.rules();
+        this.silentMs = silentMs;
+        this.clock = clock;
+        answersReport = settings.reportVia().equals("piggyback");
+        notes = new Notes(settings.toldEvery(), answersReport);
+    }
+
+    /** The gateway that hosts' news goes to. */
+    public void attach(Gateway to) {
+        gateway = to;
+    }
+
+    /** A host's address as listed. A host that moved gets a new link; what is under way on the old one ends there. */
+    public void know(String host, String ip, int port) {
+        Link link = links.get(host);
+        if (link != null && link.ip.equals(ip) && link.port == port) {
+            link.listed = true;
+            return;
+        }
+        if (link != null && link.client != null) link.client.close();
+        links.put(host, new Link(ip, port));
+    }
+
+    /** The hosts listed now; links to others go once nothing is under way on them. */
+    public void listed(Set<String> hosts) {
+        links.forEach((h, l) -> l.listed = hosts.contains(h));
+        links.entrySet().removeIf(e -> {
+            boolean drop = !e.getValue().listed && e.getValue().busy == 0;
+            if (drop) {
+                notes.forget(e.getKey());
+                if (e.getValue().client != null) e.getValue().client.close();
+            }
+            return drop;
+        });
+    }
+
+    private HttpClientAgent client(Link link) {
+        if (link.client == null) {
+            link.client = vertx.createHttpClient(new HttpClientOptions()
+                .setConnectTimeout((int) Math.max(1, rules.connectTimeout())).setKeepAliveTimeout(KEEP_ALIVE)
+                .setMaxHeaderSize(16384), new PoolOptions().setHttp1MaxSize(CONNECTIONS)
+                .setMaxWaitQueueSize(CONNECTIONS));
+        }
+        return link.client;
+    }
+
+    private static RequestOptions to(Link link, HttpMethod method, String uri) {
+        return new RequestOptions().setHost(link.ip).setPort(link.port).setMethod(method).setURI(uri);
+    }
+
+    /** Closes what it may have opened; its handlers, if any, meet a set-up that is done. */
+    private static void discard(HttpClientRequest request) {
+        request.reset().onFailure(e -> LOG.atTrace().log("already over"));
+    }
+
+    private Map<String, Double> report(HttpClientResponse response, String host) {
+        return Cmsd.load(Cmsd.numbers(response.getHeader(Cmsd.DYNAMIC), host));
+    }
+
+    // ---- set-ups ----
+
+    @Override
+    public Flight setUp(Attempt attempt, Back back) {
+        var flight = new SetUp(attempt, back);
+        flight.connect();
+        return flight;
+    }
+
+    private final class SetUp implements Flight {
+        private final Attempt attempt;
+        private final Back back;
+        private Link link;
+        private HttpClientRequest request;
+        private boolean written, done;
+
+        SetUp(Attempt attempt, Back back) {
+            this.attempt = attempt;
+            this.back = back;
+        }
+
+        void connect() {
+            link = links.get(attempt.host());
+            if (link == null) {
+                over(Outcome.CONNECT_ERROR, Map.of());
+                return;
+            }
+            link.busy++;
+            vertx.setTimer((long) Math.max(1, rules.connectTimeout()), t -> {
+                if (request == null) over(Outcome.CONNECT_ERROR, Map.of());
+            });
+            String uri = "/sessions/" + attempt.id() + "?title=" + attempt.ask().title() + "&class="
+                + attempt.terms().name() + "&tenant=" + attempt.ask().tenant() + "&viewer=" + attempt.ask().key()
+                + "&rung=" + attempt.rung();
+            client(link).request(to(link, HttpMethod.POST, uri)).onComplete(got -> {
+                if (got.failed()) {
+                    over(Outcome.CONNECT_ERROR, Map.of());
+                } else if (done) {
+                    discard(got.result());
+                } else {
+                    request = got.result();
+                    request.exceptionHandler(e -> broken());
+                    write();
+                }
+            });
+        }
+
+        /** A wait is bounded by the attempt's own time: once that is up the check says {@code DROP}. */
+        private void write() {
+            if (done) return;
+            switch (back.beforeWrite()) {
+                case WAIT -> vertx.setTimer(5, t -> write());
+                case DROP -> {
+                    discard(request);
+                    over(Outcome.IGNORED, Map.of());
+                }
+                case WRITE -> {
+                    written = true;
+                    request.putHeader("Content-Length", "0");
+                    request.send().onComplete(got -> {
+                        if (got.succeeded()) answered(got.result());
+                        else broken();
+                    });
+                }
+            }
+        }
+
+        private void broken() {
+            over(written ? Outcome.RESET_BY_PEER : Outcome.CONNECT_ERROR, Map.of());
+        }
+
+        private void answered(HttpClientResponse response) {
+            response.exceptionHandler(e -> { }); // its head is all that counts
+            if (done) return;
+            Map<String, Double> report = answersReport ? report(response, attempt.host()) : Map.of();
+            boolean named = attempt.id().equals(response.getHeader(ATTEMPT));
+            if (response.statusCode() == 201 && named) {
+                finish();
+                back.playing(report);
+            } else if (response.statusCode() == 503 && named && "never".equals(response.getHeader(RAN))) {
+                over(Outcome.QUEUE_FULL, report);
+            } else {
+                over(Outcome.FAILED, report);
+                release(attempt); // it may have run after all
+            }
+        }
+
+        private void finish() {
+            done = true;
+            if (link != null) link.busy--;
+        }
+
+        private void over(Outcome outcome, Map<String, Double> report) {
+            if (done) return;
+            finish();
+            back.over(outcome, report);
+        }
+
+        @Override
+        public void abandon() {
+            if (done) return;
+            finish();
+            if (request != null) discard(request);
+            if (written) release(attempt);
+        }
+    }
+
+    // ---- probes, releases ----
+
+    @Override
+    public void probe(String host, ProbeBack back) {
+        Link link = links.get(host);
+        if (link == null) {
+            back.answered(false, Map.of());
+            return;
+        }
+        client(link).request(to(link, HttpMethod.GET, "/status").setTimeout((long) rules.connectTimeout()))
+            .compose(HttpClientRequest::send).onComplete(got -> {
+                boolean ok = got.succeeded() && got.result().statusCode() == 200;
+                back.answered(ok, ok ? report(got.result(), host) : Map.of());
+            });
+    }
+
+    @Override
+    public void release(Attempt attempt) {
+        release(attempt, 1);
+    }
+
+    private void release(Attempt attempt, int attempts) {
+        Link link = links.get(attempt.host());
+        if (link == null) return;
+        client(link).request(to(link, HttpMethod.DELETE, "/sessions/" + attempt.id())
+            .setTimeout((long) (4 * rules.connectTimeout()))).compose(HttpClientRequest::send).onComplete(got -> {
+                if (got.succeeded() || attempts >= RELEASE_TRIES) return;
+                vertx.setTimer(100L << attempts, t -> release(attempt, attempts + 1));
+            });
+    }
+
+    /** Requests under way on the old connections end there; the next one connects anew. */
+    @Override
+    public void hangUp(String host) {
+        Link link = links.get(host);
+        if (link == null || link.client == null) return;
+        HttpClientAgent old = link.client;
+        link.client = null;
+        old.shutdown().onFailure(e -> LOG.atDebug().addKeyValue("host", host).log("shutdown"));
+    }
+
+    // ---- media ----
+
+    /**
+     * Asks the session's host for one piece at the rung in force. The response is paused; the caller reads it.
+     *
+     * @return fails with {@link HostFailure}
+     */
+    public Future<HttpClientResponse> media(Session session, int number) {
+        String host = session.host();
+        Link link = links.get(host);
+        if (link == null) return Future.failedFuture(new HostFailure("no address for " + host, End.HOST_LOST));
+        link.busy++;
+        Promise<HttpClientResponse> promise = Promise.promise();
+        HttpClientRequest[] sent = new HttpClientRequest[1];
+        long timer = vertx.setTimer((long) silentMs, t -> {
+            if (!promise.tryFail(new HostFailure(host + " is silent", End.HOST_SILENT))) return;
+            if (sent[0] != null) discard(sent[0]);
+        });
+        String uri = "/sessions/" + session.attempt().id() + "/" + session.rung() + "/" + number + ".aac";
+        client(link).request(to(link, HttpMethod.GET, uri)).compose(request -> {
+            sent[0] = request;
+            if (promise.future().isComplete()) discard(request);
+            return request.send();
+        }).onComplete(got -> {
+            vertx.cancelTimer(timer);
+            if (got.failed()) {
+                promise.tryFail(new HostFailure(host + ": " + got.cause().getMessage(), End.HOST_LOST));
+                return;
+            }
+            HttpClientResponse response = got.result();
+            response.pause();
+            response.exceptionHandler(e -> { }); // until the caller sets its own
+            heard(session, response);
+            int status = response.statusCode();
+            if (status == 200 && promise.tryComplete(response)) return;
+            End end = status == 404 || status == 410 ? End.HOST_LOST : null;
+            promise.tryFail(new HostFailure(host + " answered " + status, end));
+            response.resume();
+        });
+        promise.future().onComplete(r -> link.busy--);
+        return promise.future();
+    }
+
+    private void heard(Session session, HttpClientResponse response) {
+        Map<String, Double> told = Cmsd.numbers(response.getHeader(Cmsd.DYNAMIC), session.host());
+        Double share = told.get(Cmsd.SHARE);
+        for (Notes.Note n : notes.pass(session.host(), clock.getAsDouble(), share, Cmsd.load(told))) {
+            gateway.note(session, n.sort(), n.value());
+        }
+    }
+
+    /** The share of their rates that sessions at this host got when last heard; 1 where none was short. */
+    public double share(String host) {
+        return notes.share(host);
+    }
+
+    /** Links held, for the operator. */
+    public int links() {
+        return links.size();
+    }
+}
--- /dev/null
+++ b/src/main/java/trestleline/hosts/package-info.java
@@ -0,0 +1,2 @@
+/** The gateway's client side towards media hosts. */
+package trestleline.hosts;
--- /dev/null
+++ b/src/main/java/trestleline/http/HttpFront.java
@@ -0,0 +1,461 @@
+package trestleline.http;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.DoubleSupplier;
+import trestleline.Front;
+import trestleline.config.GatewayConfig;
+import trestleline.core.End;
+import trestleline.core.Gateway;
+import trestleline.core.Open;
+import trestleline.core.Session;
+import trestleline.core.Viewer;
+import trestleline.hints.Cmcd;
+import trestleline.hints.Cmsd;
+import trestleline.hosts.HostClient;
+import trestleline.hosts.HostFailure;
+import trestleline.media.Playlist;
+
+/**
+ * HLS over HTTP/1.1 with CMCD and CMSD (docs/wire.md). A playlist's request is one for a session and is held until the
+ * core answers; segments come from the session's host at the rung in force. A playlist asked for again by the same
+ * {@code sid} while its session waits or plays is the same request: a player that repeats itself sets nothing up twice.
+ */
+public final class HttpFront {
+    /** Names the request in answers, for whoever reads logs. */
+    public static final String REQUEST = "Trestleline-Request";
+    private static final String M3U8 = "application/vnd.apple.mpegurl", AAC = "audio/aac";
+    private static final double SWEEP = 500;
+
+    private final Vertx vertx;
+    private final GatewayConfig config;
+    private final Gateway gateway;
+    private final HostClient hosts;
+    private final DoubleSupplier clock;
+    private final Asks asks;
+    private final Silence silence;
+    private final Connections connections;
+    private final String name;
+    private final SecureRandom random = new SecureRandom();
+    private final Map<String, Waiting> waiting = new HashMap<>();
+    private final Map<String, Playing> byToken = new HashMap<>(), bySid = new HashMap<>();
+    private HttpServer server;
+    private long badRequests, hintsIgnored, hinted, segments, segmentsFailed, turnedAway, unnamed;
+    private boolean draining;
+
+    /** A session as this front serves it, and as it is handed to the next process. */
+    public record HandedOver(Open open, String token, String identity, String title) { }
+
+    private final class Playing {
+        final Session session;
+        final GatewayConfig.Title title;
+        final String token, identity;
+        double seen = clock.getAsDouble(), buffer = Double.NaN;
+        int fetching;
+
+        Playing(Session session, GatewayConfig.Title title, String token, String identity) {
+            this.session = session;
+            this.title = title;
+            this.token = token;
+            this.identity = identity;
+            byToken.put(token, this);
+            if (identity != null) bySid.put(identity, this);
+        }
+
+        void forget() {
+            byToken.remove(token);
+            if (identity != null) bySid.remove(identity, this);
+        }
+    }
+
+    /** A request held for the core's answer, and everyone who waits for that answer. */
+    private final class Waiting implements Viewer {
+        final List<HttpServerResponse> to = new ArrayList<>();
+        final GatewayConfig.Title title;
+        final String identity;
+        final double from = clock.getAsDouble();
+        long req;
+
+        Waiting(GatewayConfig.Title title, String identity) {
+            this.title = title;
+            this.identity = identity;
+            if (identity != null) waiting.put(identity, this);
+        }
+
+        void join(HttpServerResponse response) {
+            to.add(response);
+            response.closeHandler(v -> {
+                if (to.remove(response) && to.isEmpty()) {
+                    if (identity != null) waiting.remove(identity, this);
+                    gateway.leave(req);
+                }
+            });
+        }
+
+        private List<HttpServerResponse> answer() {
+            if (identity != null) waiting.remove(identity, this);
+            List<HttpServerResponse> all = List.copyOf(to);
+            to.clear();
+            for (HttpServerResponse r : all) r.putHeader(REQUEST, config.settings().me() + "-" + req);
+            return all;
+        }
+
+        @Override
+        public void granted(Session session) {
+            byte[] bytes = new byte[16];
+            random.nextBytes(bytes);
+            String token = Base64.getUrlEncoder().withoutPadding().encodeToString(bytes);
+            var playing = new Playing(session, title, token, identity);
+            for (HttpServerResponse r : answer()) playlist(r, playing, clock.getAsDouble() - from);
+        }
+
+        @Override
+        public void refused(double comeBackMs) {
+            for (HttpServerResponse r : answer()) {
+                if (comeBackMs > 0) r.putHeader("Retry-After", Long.toString((long) Math.ceil(comeBackMs / 1000)));
+                plain(r, 503, "no room now");
+            }
+        }
+
+        @Override
+        public void failed() {
+            for (HttpServerResponse r : answer()) plain(r, 502, "the session could not be set up");
+        }
+
+        @Override
+        public void ended(Session session, End why) {
+            over(session);
+        }
+    }
+
+    private void over(Session session) {
+        for (Playing p : List.copyOf(byToken.values())) if (p.session == session) p.forget();
+    }
+
+    public HttpFront(Vertx vertx, GatewayConfig config, Gateway gateway, HostClient hosts, DoubleSupplier clock) {
+        this.vertx = vertx;
+        this.config = config;
+        this.gateway = gateway;
+        this.hosts = hosts;
+        this.clock = clock;
+        asks = new Asks(config.settings());
+        silence = new Silence(config.limits().bufferMs(), config.media().segmentS() * 1000);
+        connections = new Connections(vertx, config.limits());
+        name = "trestleline-" + config.settings().me();
+    }
+
+    /** Listens; the result is the port. */
+    public Future<Integer> start() {
+        int idleS = (int) Math.max(1, Math.ceil(config.limits().idleMs() / 1000));
+        server = vertx.createHttpServer(new HttpServerOptions().setMaxHeaderSize(config.limits().headBytes())
+            .setMaxInitialLineLength(4096).setIdleTimeout(idleS).setMaxFormAttributeSize(0).setTcpNoDelay(true)
+            .setHandle100ContinueAutomatically(false).setHttp2ClearTextEnabled(false).setReuseAddress(true));
+        server.connectionHandler(connections::opened);
+        server.exceptionHandler(e -> badRequests++);
+        server.requestHandler(this::handle);
+        vertx.setTimer((long) SWEEP, t -> sweep());
+        return server.listen(config.listen().port(), config.listen().host()).map(HttpServer::actualPort);
+    }
+
+    /** Takes no new sessions from now on; what plays goes on. */
+    public void drain() {
+        draining = true;
+    }
+
+    public Future<Void> stop() {
+        return server == null ? Future.succeededFuture() : server.close();
+    }
+
+    /** What plays here, for the next process of this gateway. */
+    public List<HandedOver> handOver() {
+        List<HandedOver> all = new ArrayList<>();
+        for (Playing p : byToken.values()) {
+            all.add(new HandedOver(gateway.handOver(p.session), p.token, p.identity, p.title.name()));
+        }
+        return all;
+    }
+
+    /** Goes on with a session that an earlier process served; false when its title or class is no longer known. */
+    public boolean resume(HandedOver h) {
+        GatewayConfig.Title title = config.titles().get(h.title());
+        if (title == null || asks.terms(h.open().ask().service()) == null) return false;
+        Waiting viewer = new Waiting(title, null);
+        new Playing(gateway.resume(h.open(), viewer), title, h.token(), h.identity());
+        return true;
+    }
+
+    private void handle(HttpServerRequest request) {
+        connections.busy(request.connection());
+        HttpServerResponse response = request.response();
+        response.exceptionHandler(e -> { });
+        response.endHandler(v -> connections.idle(request.connection()));
+        if (request.decoderResult().isFailure()) {
+            badRequests++;
+            plain(response, 400, "malformed");
+            return;
+        }
+        Request r = Request.of(request.path());
+        if (r == null) {
+            if (request.path() != null && request.path().equals("/-/status")) status(response);
+            else nothing(response, "no such path");
+        } else if (request.method() != HttpMethod.GET) {
+            badRequests++;
+            response.putHeader("Allow", "GET");
+            plain(response, 405, "only GET");
+        } else if (r.playlist()) session(request, r);
+        else segment(request, r);
+    }
+
+    private void nothing(HttpServerResponse response, String what) {
+        badRequests++;
+        plain(response, 404, what);
+    }
+
+    private static void plain(HttpServerResponse response, int status, String text) {
+        if (response.ended() || response.closed()) return;
+        response.setStatusCode(status).putHeader("Content-Type", "text/plain").putHeader("Cache-Control", "no-store")
+            .end(text + "\n");
+    }
+
+    private Cmcd hints(HttpServerRequest request) {
+        Cmcd hints = Cmcd.fromHeaders(request.getHeader("CMCD-Object"), request.getHeader("CMCD-Request"),
+            request.getHeader("CMCD-Status"), request.getHeader("CMCD-Session"));
+        if (!hints.any() && hints.ignored() == 0) hints = Cmcd.fromQuery(request.query());
+        hintsIgnored += hints.ignored();
+        if (hints.any()) hinted++;
+        return hints;
+    }
+
+    // ---- sessions ----
+
+    private void session(HttpServerRequest request, Request r) {
+        HttpServerResponse response = request.response();
+        GatewayConfig.Title title = config.titles().get(r.title());
+        boolean tenant = config.settings().accounts().stream().anyMatch(a -> a.name().equals(r.tenant()));
+        if (title == null || !tenant || asks.terms(r.service()) == null) {
+            nothing(response, "no such tenant, class or title");
+            return;
+        }
+        Cmcd hints = hints(request);
+        // a sid counts as a name for one viewer of one title; without one each request is a viewer of its own
+        String identity = hints.sid() == null ? null
+            : String.join("/", r.tenant(), r.service(), r.title(), hints.sid());
+        Playing playing = identity == null ? null : bySid.get(identity);
+        if (playing != null) {
+            playing.seen = clock.getAsDouble();
+            playlist(response, playing, 0);
+            return;
+        }
+        Waiting held = identity == null ? null : waiting.get(identity);
+        if (held != null) {
+            held.join(response);
+            return;
+        }
+        if (draining || gateway.counts().waiting() + byToken.size() >= config.limits().open()) {
+            turnedAway++;
+            response.putHeader("Retry-After", "1");
+            plain(response, 503, "turned away at the door");
+            return;
+        }
+        Waiting w = new Waiting(title, identity);
+        w.join(response);
+        w.req = gateway.request(asks.of(r, title, hints, "unnamed-" + unnamed++), w);
+    }
+
+    private Map<String, Object> entry(Session s, double waitedMs) {
+        long kbps = Math.round(asks.kbps(s.ask().service(), s.rung()));
+        double share = hosts.share(s.host());
+        Map<String, Object> keys = new LinkedHashMap<>();
+        if (share < 0.98) keys.put("du", true);
+        keys.put("etp", Math.max(1, Math.round(kbps * share)));
+        keys.put("mb", kbps);
+        keys.put("rd", Math.round(waitedMs));
+        return keys;
+    }
+
+    private void playlist(HttpServerResponse response, Playing p, double waitedMs) {
+        if (response.ended() || response.closed()) return;
+        response.putHeader("Content-Type", M3U8).putHeader("Cache-Control", "no-store")
+            .putHeader(Cmsd.STATIC, Cmsd.fixed(Map.of("n", name)))
+            .putHeader(Cmsd.DYNAMIC, Cmsd.append(null, name, entry(p.session, waitedMs)))
+            .end(Playlist.write(p.token, p.title.seconds(), config.media().segmentS()));
+    }
+
+    // ---- segments ----
+
+    private void segment(HttpServerRequest request, Request r) {
+        HttpServerResponse response = request.response();
+        Playing p = byToken.get(r.token());
+        if (p == null || !p.session.open()) {
+            plain(response, 410, "no such session; ask for the playlist again");
+            return;
+        }
+        int count = Playlist.segments(p.title.seconds(), config.media().segmentS());
+        if (!p.title.name().equals(r.title()) || r.segment() >= count) {
+            nothing(response, "no such segment");
+            return;
+        }
+        Cmcd hints = hints(request);
+        hints.bufferMs().ifPresent(b -> p.buffer = b);
+        p.seen = clock.getAsDouble();
+        p.fetching++;
+        double from = p.seen;
+        new Piece(p, response, r.segment() == count - 1).fetch(r.segment(), from);
+    }
+
+    /** One segment on its way from host to viewer: neither side's stop grows memory here. */
+    private final class Piece {
+        private final Playing p;
+        private final HttpServerResponse to;
+        private final boolean last;
+        private HttpClientResponse from;
+        private double moved;
+        private boolean held, done;
+
+        Piece(Playing p, HttpServerResponse to, boolean last) {
+            this.p = p;
+            this.to = to;
+            this.last = last;
+        }
+
+        void fetch(int number, double asked) {
+            to.closeHandler(v -> finish(false));
+            hosts.media(p.session, number).onComplete(got -> {
+                if (got.failed()) {
+                    failed(got.cause());
+                } else if (done) {
+                    from = got.result();
+                    abort();
+                } else {
+                    from = got.result();
+                    pass(asked);
+                }
+            });
+        }
+
+        private void pass(double asked) {
+            moved = clock.getAsDouble();
+            String before = from.getHeader(Cmsd.DYNAMIC), length = from.getHeader("Content-Length");
+            String fixed = from.getHeader(Cmsd.STATIC);
+            if (length != null) to.putHeader("Content-Length", length);
+            else to.setChunked(true);
+            if (fixed != null) to.putHeader(Cmsd.STATIC, fixed);
+            to.putHeader("Content-Type", AAC).putHeader("Cache-Control", "no-store")
+                .putHeader(Cmsd.DYNAMIC, Cmsd.append(before, name, entry(p.session, moved - asked)));
+            from.handler(bytes -> {
+                moved = clock.getAsDouble();
+                p.seen = moved;
+                if (done) return;
+                to.write(bytes);
+                if (!to.writeQueueFull()) return;
+                held = true;
+                from.pause();
+                to.drainHandler(v -> {
+                    held = false;
+                    moved = clock.getAsDouble();
+                    from.resume();
+                });
+            });
+            from.exceptionHandler(e -> lost(End.HOST_LOST));
+            from.endHandler(v -> {
+                if (done) return;
+                to.end();
+                finish(true);
+            });
+            watch();
+            from.resume();
+        }
+
+        /** A host that stops in the middle; a viewer that stops reading is bounded by the connection's idle time. */
+        private void watch() {
+            vertx.setTimer((long) config.media().silentMs(), t -> {
+                if (done) return;
+                if (!held && clock.getAsDouble() - moved >= config.media().silentMs()) lost(End.HOST_SILENT);
+                else watch();
+            });
+        }
+
+        private void lost(End why) {
+            if (done) return;
+            finish(false);
+            gateway.end(p.session, why);
+            to.reset();
+        }
+
+        private void failed(Throwable cause) {
+            End end = cause instanceof HostFailure f ? f.end() : End.HOST_LOST;
+            boolean answered = done;
+            if (!done) finish(false);
+            segmentsFailed++;
+            if (end != null) gateway.end(p.session, end);
+            if (!answered) plain(to, end == End.HOST_SILENT ? 504 : 502, "the host did not deliver");
+        }
+
+        private void abort() {
+            from.request().reset();
+        }
+
+        private void finish(boolean whole) {
+            if (done) return;
+            done = true;
+            p.fetching--;
+            p.seen = clock.getAsDouble();
+            if (from != null && !whole) abort();
+            if (!whole) return;
+            segments++;
+            if (last && p.session.open()) {
+                p.forget();
+                gateway.end(p.session, End.PLAYED_OUT);
+            }
+        }
+    }
+
+    private void sweep() {
+        double now = clock.getAsDouble();
+        for (Playing p : List.copyOf(byToken.values())) {
+            if (!p.session.open()) {
+                p.forget();
+            } else if (p.fetching == 0 && now - p.seen > silence.patience(p.buffer) + gateway.lag()) {
+                p.forget();
+                gateway.end(p.session, End.VIEWER_GONE);
+            }
+        }
+        vertx.setTimer((long) SWEEP, t -> sweep());
+    }
+
+    // ---- the operator ----
+
+    private void status(HttpServerResponse response) {
+        var c = gateway.counts();
+        var json = new io.vertx.core.json.JsonObject().put("gateway", config.settings().me()).put("asked", c.asked())
+            .put("granted", c.granted()).put("refused", c.refused()).put("failed", c.failed()).put("left", c.left())
+            .put("attempts", c.attempts()).put("droppedBeforeWrite", c.dropped()).put("overdue", c.overdue())
+            .put("moduleBugs", c.bugs()).put("stalls", c.stalls()).put("waiting", c.waiting())
+            .put("playing", c.playing()).put("hosts", c.hosts()).put("listVersion", c.listVersion())
+            .put("connections", connections.open()).put("connectionsTurnedAway", connections.turnedAway())
+            .put("connectionsTimedOut", connections.timedOut()).put("badRequests", badRequests)
+            .put("hinted", hinted).put("hintsIgnored", hintsIgnored).put("segments", segments)
+            .put("segmentsFailed", segmentsFailed).put("turnedAway", turnedAway).put("tokens", byToken.size())
+            .put("links", hosts.links()).put("draining", draining);
+        response.putHeader("Content-Type", "application/json").end(json.encode() + "\n");
+    }
+
+    /** Sessions and requests held here, for tests of leaks. */
+    public int held() {
+        return byToken.size() + waiting.size();
+    }
+
+}
--- /dev/null
+++ b/src/main/java/trestleline/listing/Backoff.java
@@ -0,0 +1,25 @@
+package trestleline.listing;
+
+import java.util.SplittableRandom;
+
+/** Pauses between attempts: doubled each time up to a limit, half of each at random, so that many do not act in step. */
+final class Backoff {
+    private final double from, to;
+    private final SplittableRandom random;
+    private int failures;
+
+    Backoff(double from, double to, long seed) {
+        this.from = from;
+        this.to = to;
+        random = new SplittableRandom(seed);
+    }
+
+    double next() {
+        double full = Math.min(to, from * Math.pow(2, Math.min(30, failures++)));
+        return full * (0.5 + 0.5 * random.nextDouble());
+    }
+
+    void worked() {
+        failures = 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/trestleline/listing/Listed.java
@@ -0,0 +1,79 @@
+package trestleline.listing;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import trestleline.Front;
+
+/** A host as listed, with where it is reached; and the text form of lists (docs/wire.md). */
+public record Listed(Front.Entry entry, String ip, int port) {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final Set<String> STATUS = Set.of("Running", "Stopping", "Deleted");
+
+    /** One line of the feed. {@code faults} name what was left out, with place and field. */
+    public record Line(String mode, long version, List<Listed> hosts, List<String> faults) { }
+
+    /** Reads one line; throws {@code IllegalArgumentException} when nothing of it can be used. */
+    public static Line read(String text) {
+        JsonNode n;
+        try {
+            n = JSON.readTree(text);
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException("not JSON: " + e.getOriginalMessage(), e);
+        }
+        String mode = n == null ? "" : n.path("mode").asText();
+        if (!mode.equals("whole") && !mode.equals("patch")) {
+            throw new IllegalArgumentException("field 'mode' is '" + mode + "'; expected whole or patch");
+        }
+        if (!n.path("version").isIntegralNumber()) throw new IllegalArgumentException("field 'version' is no number");
+        if (!n.path("hosts").isArray()) throw new IllegalArgumentException("field 'hosts' is no array");
+        List<Listed> hosts = new ArrayList<>();
+        List<String> faults = new ArrayList<>();
+        int i = 0;
+        for (JsonNode h : n.path("hosts")) {
+            try {
+                hosts.add(one(h));
+            } catch (IllegalArgumentException e) {
+                faults.add("hosts[" + i + "]." + e.getMessage());
+            }
+            i++;
+        }
+        return new Line(mode, n.path("version").longValue(), hosts, faults);
+    }
+
+    private static Listed one(JsonNode h) {
+        String host = h.path("host").asText(), status = h.path("status").asText();
+        if (!host.matches("[A-Za-z0-9][A-Za-z0-9._-]{0,63}")) throw new IllegalArgumentException("host: no host name");
+        if (!STATUS.contains(status)) throw new IllegalArgumentException("status: is '" + status + "'");
+        String address = h.path("address").asText();
+        if (!address.matches("127\\.\\d{1,3}\\.\\d{1,3}\\.\\d{1,3}:\\d{1,5}")) {
+            throw new IllegalArgumentException("address: is '" + address + "'; expected a loopback address and port");
+        }
+        int colon = address.indexOf(':'), port = Integer.parseInt(address.substring(colon + 1));
+        double since = h.path("since").asDouble(0), weight = h.path("weight").asDouble(1);
+        if (port < 1 || port > 65535) throw new IllegalArgumentException("address: no port");
+        if (!(since >= 0 && since < 1e15)) throw new IllegalArgumentException("since: is no time");
+        if (!(weight > 0 && weight < 1e9)) throw new IllegalArgumentException("weight: is no size");
+        if (!h.path("slot").canConvertToInt()) throw new IllegalArgumentException("slot: is no small number");
+        return new Listed(new Front.Entry(host, status, h.path("kind").asText(), since, h.path("zone").asText(), weight,
+            h.path("slot").intValue()), address.substring(0, colon), port);
+    }
+
+    /** Writes one line, without its end. */
+    public static String write(String mode, long version, List<Listed> hosts) {
+        ObjectNode n = JSON.createObjectNode().put("mode", mode).put("version", version);
+        ArrayNode all = n.putArray("hosts");
+        for (Listed l : hosts) {
+            Front.Entry e = l.entry();
+            all.addObject().put("host", e.host()).put("address", l.ip() + ":" + l.port()).put("status", e.status())
+                .put("kind", e.kind()).put("since", e.since()).put("zone", e.zone()).put("weight", e.weight())
+                .put("slot", e.slot());
+        }
+        return n.toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/trestleline/media/package-info.java
@@ -0,0 +1,2 @@
+/** Playlists and silent media. No I/O. */
+package trestleline.media;
--- /dev/null
+++ b/src/main/java/trestleline/rehearsal/Fleet.java
@@ -0,0 +1,89 @@
+package trestleline.rehearsal;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.function.DoubleSupplier;
+import trestleline.Front;
+import trestleline.listing.Listed;
+import trestleline.standin.ListFeed;
+import trestleline.standin.MediaHost;
+import trestleline.standin.Physics;
+import trestleline.standin.Rack;
+import trestleline.standin.Trace;
+
+/** The stand-in hosts of a day with their racks and the list's source, all on one event loop. */
+public final class Fleet {
+    private final Day day;
+    private final DoubleSupplier clock;
+    private final List<MediaHost> hosts = new ArrayList<>();
+    private final List<Rack> racks = new ArrayList<>();
+    private final ListFeed feed;
+
+    public Fleet(Day day, Vertx vertx, Trace trace, DoubleSupplier clock) {
+        this.day = day;
+        this.clock = clock;
+        Front.Settings s = day.template().settings();
+        var physics = new Physics(s, day.template().media().segmentS(), day.physics().workFrom(), day.physics().workTo(),
+            day.physics().vary(), day.physics().ahead());
+        for (int i = 0; i < s.fleet().racks(); i++) racks.add(new Rack(day.uplinkKb()));
+        feed = new ListFeed(vertx, trace, clock);
+        var random = new SplittableRandom(day.seed());
+        int slot = 0;
+        for (Day.HostSpec h : day.hosts()) {
+            int kind = s.fleet().kinds().indexOf(h.kind());
+            for (int i = 0; i < h.count(); i++, slot++) {
+                // places are handed out in steps, so that a part of the hosts is spread over titles
+                var spec = new MediaHost.Spec("host-" + Character.toString('a' + slot % 26) + slot, h.kind(), s.zone(),
+                    slot, s.fleet().slots()[kind], h.linkKb());
+                hosts.add(new MediaHost(vertx, spec, racks.get(slot % racks.size()), physics, trace, clock,
+                    random.nextLong()));
+            }
+        }
+    }
+
+    /** Starts feed and hosts, all warm, and lists them. */
+    public Future<Void> start() {
+        return feed.start().compose(p -> Future.all(hosts.stream().map(h -> h.start(true)).toList()))
+            .map(all -> {
+                feed.publish(hosts.stream().map(h -> listed(h, "Running")).toList());
+                return null;
+            });
+    }
+
+    /** A host as it is to be listed. */
+    Listed listed(MediaHost h, String status) {
+        MediaHost.Spec s = h.spec();
+        return new Listed(new Front.Entry(s.name(), status, s.kind(), h.since(), s.zone(), 1, s.slot()), "127.0.0.1",
+            h.port());
+    }
+
+    /** Puts a change on the list, which tells it after its own lag and {@code further} ms. */
+    void publish(Vertx vertx, MediaHost h, String status, double further) {
+        Listed l = listed(h, status);
+        if (further < 1) feed.publish(List.of(l));
+        else vertx.setTimer((long) further, t -> feed.publish(List.of(l)));
+    }
+
+    public List<MediaHost> hosts() {
+        return hosts;
+    }
+
+    List<Rack> racks() {
+        return racks;
+    }
+
+    public ListFeed feed() {
+        return feed;
+    }
+
+    DoubleSupplier clock() {
+        return clock;
+    }
+
+    Day day() {
+        return day;
+    }
+}
--- /dev/null
+++ b/src/main/java/trestleline/rehearsal/InJvm.java
@@ -0,0 +1,44 @@
+package trestleline.rehearsal;
+
+import io.vertx.core.Future;
+import java.util.function.IntFunction;
+import trestleline.config.GatewayConfig;
+import trestleline.daemon.GatewayNode;
+
+/** A gateway in this process, on an event loop of its own. */
+final class InJvm implements Runner {
+    private final IntFunction<GatewayConfig> config;
+    private GatewayNode node;
+    private volatile int port;
+
+    /** @param config the settings for a port, 0: any */
+    InJvm(IntFunction<GatewayConfig> config) {
+        this.config = config;
+    }
+
+    @Override
+    public Future<Integer> start() {
+        node = new GatewayNode(config.apply(port));
+        return node.start().onSuccess(p -> port = p);
+    }
+
+    @Override
+    public Future<Void> kill() {
+        return node.kill();
+    }
+
+    @Override
+    public Future<Void> stall(long ms) {
+        return node.stall(ms);
+    }
+
+    @Override
+    public Future<Void> stop() {
+        return node.stop();
+    }
+
+    @Override
+    public int port() {
+        return port;
+    }
+}
--- /dev/null
+++ b/src/main/java/trestleline/rehearsal/Mishaps.java
@@ -0,0 +1,156 @@
+package trestleline.rehearsal;
+
+import io.vertx.core.Vertx;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.function.Consumer;
+import trestleline.judge.Seen;
+import trestleline.standin.MediaHost;
+import trestleline.standin.Rack;
+import trestleline.standin.Trace;
+
+/** Does a day's troubles at the sockets, at their times. On the stand-ins' event loop. */
+final class Mishaps {
+    private final Vertx vertx;
+    private final Fleet fleet;
+    private final List<Runner> gateways;
+    private final Trace trace;
+    private final Arriving arriving;
+    private final Consumer<String> say;
+    private final Random random;
+    private final boolean[] down;
+
+    Mishaps(Vertx vertx, Fleet fleet, List<Runner> gateways, Trace trace, Arriving arriving, Consumer<String> say,
+            long seed) {
+        this.vertx = vertx;
+        this.fleet = fleet;
+        this.gateways = gateways;
+        this.trace = trace;
+        this.arriving = arriving;
+        this.say = say;
+        random = new Random(seed);
+        down = new boolean[gateways.size()];
+    }
+
+    /** A hundredth of a second is the least wait, so that none is done within this call. */
+    private void in(double seconds, Runnable task) {
+        vertx.setTimer((long) Math.max(10, seconds * 1000), t -> task.run());
+    }
+
+    void plan(List<Day.Trouble> troubles) {
+        for (Day.Trouble t : troubles) in(t.at(), () -> begin(t));
+    }
+
+    private <T> List<T> part(List<T> of, double part) {
+        List<T> all = new ArrayList<>(of);
+        Collections.shuffle(all, random);
+        return all.subList(0, (int) Math.min(all.size(), Math.max(1, Math.round(part * all.size()))));
+    }
+
+    private List<MediaHost> running(double part) {
+        return part(fleet.hosts().stream().filter(h -> h.mode() == MediaHost.Mode.RUNNING && !h.draining()).toList(), part);
+    }
+
+    private void begin(Day.Trouble t) {
+        say.accept("trouble: " + t.name() + " for " + t.seconds() + " s");
+        switch (t.name()) {
+            case "balancer_crash" -> gatewayCrash(t);
+            case "balancer_stall" -> gatewayStall(t, t.seconds());
+            case "burst" -> during(t, on -> arriving.factor(on ? t.size() : 1));
+            case "tenant_burst" -> during(t, on -> arriving.tenantFactor(on ? t.size() : 1));
+            case "crash" -> running(t.part()).forEach(h -> hostCrash(h, t.seconds()));
+            case "vanish" -> running(t.part()).forEach(h -> vanish(h, t.seconds()));
+            case "zone_loss" -> rackLoss(t);
+            case "hang" -> running(t.part()).forEach(h -> during(t, h::hang));
+            case "fast_errors" -> running(t.part()).forEach(h -> during(t, on -> h.failSetUps(on ? t.size() : 0)));
+            case "neighbour" -> running(t.part()).forEach(h -> during(t, on -> h.neighbour(on ? t.size() : 1)));
+            case "origin_slow" -> fleet.hosts().forEach(h -> during(t, on -> h.slow(on ? t.size() : 1)));
+            case "shared_slow" -> {
+                for (Rack r : fleet.racks()) during(t, on -> r.weaken(on ? t.size() : 1));
+            }
+            case "discovery_stale" -> during(t, on -> fleet.feed().lag(on ? t.size() : fleet.day().list().lagMs()));
+            case "preempt" -> running(t.part()).forEach(h -> preempt(h, t));
+            default -> throw new IllegalStateException(t.name());
+        }
+    }
+
+    private void during(Day.Trouble t, Consumer<Boolean> state) {
+        state.accept(true);
+        in(t.seconds(), () -> state.accept(false));
+    }
+
+    // ---- hosts ----
+
+    private void hostCrash(MediaHost h, double seconds) {
+        h.crash();
+        fleet.publish(vertx, h, "Deleted", fleet.day().list().silentLagMs());
+        in(seconds, () -> h.start(false).onSuccess(p -> fleet.publish(vertx, h, "Running", 0)));
+    }
+
+    private void vanish(MediaHost h, double seconds) {
+        h.vanish();
+        fleet.publish(vertx, h, "Deleted", fleet.day().list().silentLagMs());
+        in(seconds, () -> h.reappear().onSuccess(p -> fleet.publish(vertx, h, "Running", 0)));
+    }
+
+    /** Told in time that it goes, gone after that, and a new one in its place some time later. */
+    private void preempt(MediaHost h, Day.Trouble t) {
+        h.drain(true);
+        fleet.publish(vertx, h, "Stopping", 0);
+        in(t.seconds(), () -> {
+            h.crash();
+            fleet.publish(vertx, h, "Deleted", 0);
+            in(t.everyS(), () -> h.start(false).onSuccess(p -> fleet.publish(vertx, h, "Running", 0)));
+        });
+    }
+
+    /** A whole rack dies, and a part of the gateways with it. */
+    private void rackLoss(Day.Trouble t) {
+        int racks = fleet.racks().size(), rack = random.nextInt(racks);
+        for (MediaHost h : fleet.hosts()) {
+            if (h.spec().slot() % racks == rack && h.mode() == MediaHost.Mode.RUNNING) hostCrash(h, t.seconds());
+        }
+        if (gateways.size() > 1 && t.size() > 0) gatewayCrash(t);
+    }
+
+    // ---- gateways ----
+
+    private List<Integer> up(double part) {
+        List<Integer> all = new ArrayList<>();
+        for (int i = 0; i < gateways.size(); i++) if (!down[i]) all.add(i);
+        return part(all, part);
+    }
+
+    private double now() {
+        return fleet.clock().getAsDouble();
+    }
+
+    private void gatewayCrash(Day.Trouble t) {
+        for (int g : up(t.part())) {
+            down[g] = true;
+            trace.add(new Seen.GatewayDown(now(), Integer.toString(g)));
+            gateways.get(g).kill().onComplete(k -> in(t.seconds(), () -> gateways.get(g).start().onComplete(s ->
+                vertx.runOnContext(v -> {
+                    if (s.failed()) {
+                        say.accept("gateway " + g + " did not come back: " + s.cause());
+                        return;
+                    }
+                    trace.add(new Seen.GatewayUp(now(), Integer.toString(g)));
+                    down[g] = false;
+                }))));
+        }
+    }
+
+    /** Stands still for {@code size} ms, every {@code everyS} seconds, one gateway after another. */
+    private void gatewayStall(Day.Trouble t, double left) {
+        if (left <= 0) return;
+        for (int g : up(t.part())) {
+            double from = now();
+            gateways.get(g).stall((long) t.size()).onComplete(s ->
+                trace.add(new Seen.Stalled(from, Integer.toString(g), now())));
+        }
+        in(t.everyS(), () -> gatewayStall(t, left - t.everyS()));
+    }
+}
--- /dev/null
+++ b/src/main/java/trestleline/rehearsal/Rehearsal.java
@@ -0,0 +1,140 @@
+package trestleline.rehearsal;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
+import trestleline.Front;
+import trestleline.core.WallClock;
+import trestleline.judge.Figures;
+import trestleline.judge.Judge;
+import trestleline.judge.Seen;
+import trestleline.judge.Verdict;
+import trestleline.standin.MediaHost;
+import trestleline.standin.Trace;
+
+/** Plays a day through real gateways on loopback sockets and judges it by what the stand-ins saw there. */
+public final class Rehearsal {
+    /** What two peers' views of one gateway may differ by, ms: their loops share a machine with all else. */
+    private static final double SLACK = 150;
+    private final Day day;
+    private final boolean processes;
+    private final Consumer<String> say;
+
+    public Rehearsal(Day day, boolean processes, Consumer<String> say) {
+        this.day = day;
+        this.processes = processes;
+        this.say = say;
+    }
+
+    /** The figures of the rules that a day's settings state. */
+    public static Figures figures(Front.Settings s) {
+        Map<String, Figures.Terms> classes = new HashMap<>();
+        for (Front.Terms t : s.classes()) {
+            Figures.Repeat repeat = switch (t.effect()) {
+                case PURE -> Figures.Repeat.FREELY;
+                case TOKEN -> Figures.Repeat.WITHIN_WINDOW;
+                case SIDE_EFFECT -> Figures.Repeat.NEVER;
+            };
+            classes.put(t.name(), new Figures.Terms(repeat, t.dedupWindow(), t.floor(), t.seats()));
+        }
+        Front.Rules r = s.rules();
+        return new Figures(classes, r.graceToAnswer(), r.drainGrace(), r.coldShare(), r.cold(), r.overloadFactor(),
+            r.fall(), r.freeResends(), r.extraShare(), r.extraWindow(), SLACK);
+    }
+
+    /** Runs the day to its end; takes its seconds, and those that the last viewers play on. */
+    public Report run() throws IOException, InterruptedException, ExecutionException, TimeoutException {
+        Path dir = Files.createTempDirectory("trestleline-day");
+        Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(8));
+        var clock = new WallClock();
+        var trace = new Trace();
+        List<Runner> gateways = new ArrayList<>();
+        try {
+            Fleet fleet = new Fleet(day, vertx, trace, clock);
+            wait(fleet.start(), 30);
+            for (int g = 0; g < day.gateways(); g++) {
+                String url = fleet.feed().url(Integer.toString(g)), saved = dir.resolve("list-" + g).toString();
+                int me = g;
+                gateways.add(processes ? new ChildProcess(vertx, dir, me, p -> day.gatewayText(me, p, url, saved))
+                    : new InJvm(p -> day.gateway(me, p, url, saved)));
+            }
+            wait(Future.all(gateways.stream().map(Runner::start).toList()), 120);
+            say.accept(String.format(Locale.ROOT, "%s: %d hosts, %d gateways%s, seed %d", day.name(), fleet.hosts().size(),
+                day.gateways(), processes ? " in processes of their own" : "", day.seed()));
+            double from = clock.getAsDouble();
+            for (int g = 0; g < day.gateways(); g++) trace.add(new Seen.GatewayUp(from, Integer.toString(g)));
+            var arriving = new Arriving(vertx, day, gateways, trace, clock, day.seed() * 31 + 1);
+            var mishaps = new Mishaps(vertx, fleet, gateways, trace, arriving, this::saying, day.seed() * 31 + 2);
+            vertx.runOnContext(v -> {
+                fleet.feed().lag(day.list().lagMs());
+                arriving.start();
+                mishaps.plan(day.troubles());
+            });
+            double longest = day.template().titles().values().stream().mapToDouble(t -> t.seconds()).max().orElse(0);
+            double arrivalsEnd = from + day.seconds() * 1000, end = arrivalsEnd + longest * 1000 + 20_000;
+            boolean closed = false;
+            double nextWord = from + 5000;
+            while (clock.getAsDouble() < end && !(closed && arriving.live() == 0)) {
+                Thread.sleep(50);
+                double now = clock.getAsDouble();
+                if (!closed && now >= arrivalsEnd) {
+                    closed = true;
+                    vertx.runOnContext(v -> arriving.close());
+                }
+                if (now < nextWord) continue;
+                nextWord += 5000;
+                saying(String.format(Locale.ROOT, "%3.0f s: %d viewers, %d live", (now - from) / 1000,
+                    arriving.tally().viewers, arriving.live()));
+            }
+            return report(trace.all(), clock.getAsDouble(), arriving, fleet, (arrivalsEnd - from) / 1000);
+        } finally {
+            for (Runner g : gateways) quietly(g.stop());
+            quietly(vertx.close());
+            remove(dir);
+        }
+    }
+
+    private void saying(String line) {
+        say.accept(line);
+    }
+
+    private Report report(List<Seen> seen, double end, Arriving arriving, Fleet fleet, double seconds) {
+        Verdict v = Judge.verdict(figures(day.template().settings()), seen, end);
+        Arriving.Tally t = arriving.tally();
+        long setUps = seen.stream().filter(s -> s instanceof Seen.SetUp).count();
+        long fallen = fleet.hosts().stream().filter(h -> h.mode() == MediaHost.Mode.FALLEN).count();
+        return new Report(day.name(), day.seed(), seconds, t.viewers, t.asked, t.granted, t.refused, t.failed, t.cut, t.left,
+            t.segments, t.breaks, t.finished, t.stalledMs, t.answerMs.getValueAtPercentile(50),
+            t.answerMs.getValueAtPercentile(99), t.answerMs.getMaxValue(), setUps, fallen, arriving.live(), v);
+    }
+
+    private static <T> T wait(Future<T> f, int seconds) throws InterruptedException, ExecutionException, TimeoutException {
+        return f.toCompletionStage().toCompletableFuture().get(seconds, TimeUnit.SECONDS);
+    }
+
+    private static void quietly(Future<Void> f) throws InterruptedException {
+        try {
+            wait(f, 15);
+        } catch (ExecutionException | TimeoutException e) {
+            // the day is judged already; what does not end in time ends with the process
+        }
+    }
+
+    private static void remove(Path dir) throws IOException {
+        try (var all = Files.walk(dir)) {
+            for (Path p : all.sorted(java.util.Comparator.reverseOrder()).toList()) Files.deleteIfExists(p);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/trestleline/rehearsal/Report.java
@@ -0,0 +1,51 @@
+package trestleline.rehearsal;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Locale;
+import trestleline.judge.Verdict;
+
+/** What a rehearsal found, as a person reads it and as JSON. */
+public record Report(String day, long seed, double seconds, long viewers, long asked, long granted, long refused,
+                     long failed, long cut, long left, long segments, long breaks, long finished, double stalledMs,
+                     long answerP50, long answerP99, long answerMax, long attempts, long hostsFallen, long unended,
+                     Verdict verdict) {
+    /** Whether any rule broke. */
+    public boolean broken() {
+        return !verdict.guilty().isEmpty();
+    }
+
+    /** Lines for a person. */
+    public String text() {
+        var s = new StringBuilder();
+        s.append(String.format(Locale.ROOT, "%s: %d viewers in %.0f s asked %d times: played %d, refused %d, failed %d, "
+            + "cut off %d, left %d%n", day, viewers, seconds, asked, granted, refused, failed, cut, left));
+        s.append(String.format(Locale.ROOT, "segments %d, breaks %d, played to the end %d, stalled %.1f s in all; first "
+            + "answer p50 %d ms, p99 %d ms, max %d ms; set-ups at hosts %d; hosts fallen %d%n", segments, breaks, finished,
+            stalledMs / 1000, answerP50, answerP99, answerMax, attempts, hostsFallen));
+        for (int r = 1; r <= Verdict.RULES.size(); r++) {
+            s.append(String.format(Locale.ROOT, "rule %d, %s: %s%n", r, Verdict.RULES.get(r - 1), verdict.broken(r) == 0
+                ? "kept (" + verdict.looked(r) + " occasions)"
+                : "BROKEN " + verdict.broken(r) + " times of " + verdict.looked(r) + "; first " + verdict.witness(r)));
+        }
+        return s.toString();
+    }
+
+    /** The same as JSON. */
+    public String json() {
+        ObjectMapper m = new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT);
+        ObjectNode n = m.createObjectNode().put("day", day).put("seed", seed).put("seconds", seconds)
+            .put("viewers", viewers).put("asked", asked).put("played", granted).put("refused", refused)
+            .put("failed", failed).put("cut", cut).put("left", left).put("segments", segments).put("breaks", breaks)
+            .put("finished", finished).put("stalledMs", stalledMs).put("answerP50Ms", answerP50)
+            .put("answerP99Ms", answerP99).put("answerMaxMs", answerMax).put("setUps", attempts)
+            .put("hostsFallen", hostsFallen).put("unended", unended);
+        ObjectNode rules = n.putObject("rules");
+        for (int r = 1; r <= Verdict.RULES.size(); r++) {
+            rules.putObject(Integer.toString(r)).put("name", Verdict.RULES.get(r - 1)).put("broken", verdict.broken(r))
+                .put("occasions", verdict.looked(r)).put("witness", verdict.witness(r));
+        }
+        return n.toPrettyString();
+    }
+}
--- /dev/null
+++ b/src/main/java/trestleline/standin/MediaHost.java
@@ -0,0 +1,434 @@
+package trestleline.standin;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.DoubleSupplier;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import trestleline.Front;
+import trestleline.hints.Cmsd;
+import trestleline.judge.Seen;
+import trestleline.media.Adts;
+
+/**
+ * A stand-in for a media host (docs/wire.md): takes set-ups, serves silent media really paced by its link and its rack's
+ * uplink, warms up, falls over when pushed while cold, and fails in each way that a day may ask for. Every call on the
+ * event loop of its Vert.x, which has one.
+ */
+public final class MediaHost {
+    /** What it is: {@code slots} sessions when warm, a link of {@code linkKb} kB a second, its place and zone. */
+    public record Spec(String name, String kind, String zone, int slot, int slots, double linkKb) { }
+
+    /** How it is at the moment. */
+    public enum Mode { DOWN, RUNNING, HUNG, VANISHED, FALLEN }
+
+    private static final Pattern SESSION = Pattern.compile("/sessions/([A-Za-z0-9-]{1,80})(?:/(\\d{1,2})/(\\d{1,6})\\.aac)?");
+    private static final double TICK = 50, IDLE = 20_000;
+    private static final int CACHE = 512;
+
+    private final Vertx vertx;
+    private final Spec spec;
+    private final Rack rack;
+    private final Physics physics;
+    private final Trace trace;
+    private final DoubleSupplier clock;
+    private final SplittableRandom random;
+    private final Map<String, Held> held = new LinkedHashMap<>();
+    private final Set<HttpConnection> connections = new HashSet<>();
+    private final ArrayDeque<Double> recent = new ArrayDeque<>();
+    private final Map<String, Buffer> cache = new LinkedHashMap<>(16, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Buffer> eldest) {
+            return size() > CACHE;
+        }
+    };
+    private final List<Sending> sending = new ArrayList<>();
+    private HttpServer server;
+    private int port, epoch;
+    private Mode mode = Mode.DOWN;
+    private boolean draining, warm;
+    private double startedAt, neighbour = 1, errors, slow = 1, share = 1, lastTick;
+
+    /** A set-up or session. */
+    private final class Held {
+        final String attempt;
+        final Front.Terms terms;
+        final long title;
+        int rung;
+        boolean runs;
+        double touched = clock.getAsDouble();
+
+        Held(String attempt, Front.Terms terms, long title, int rung) {
+            this.attempt = attempt;
+            this.terms = terms;
+            this.title = title;
+            this.rung = rung;
+        }
+
+        double rate() {
+            return physics.rate(terms, title, rung);
+        }
+    }
+
+    /** A piece of media on its way out. */
+    private static final class Sending {
+        final Held of;
+        final HttpServerResponse to;
+        final Buffer bytes;
+        double due;
+        int sent;
+
+        Sending(Held of, HttpServerResponse to, Buffer bytes) {
+            this.of = of;
+            this.to = to;
+            this.bytes = bytes;
+        }
+    }
+
+    public MediaHost(Vertx vertx, Spec spec, Rack rack, Physics physics, Trace trace, DoubleSupplier clock, long seed) {
+        this.vertx = vertx;
+        this.spec = spec;
+        this.rack = rack;
+        this.physics = physics;
+        this.trace = trace;
+        this.clock = clock;
+        random = new SplittableRandom(seed);
+        rack.add(this);
+    }
+
+    public Spec spec() {
+        return spec;
+    }
+
+    public int port() {
+        return port;
+    }
+
+    public Mode mode() {
+        return mode;
+    }
+
+    public boolean draining() {
+        return draining;
+    }
+
+    /** When it last started; 0: long before the day. */
+    public double since() {
+        return warm ? 0 : startedAt;
+    }
+
+    /** Sessions and set-ups that it holds. */
+    public int sessions() {
+        return held.size();
+    }
+
+    // ---- life and troubles ----
+
+    /** Starts, on the port it had before if any; a warm one started long ago. */
+    public Future<Integer> start(boolean warm) {
+        this.warm = warm;
+        startedAt = clock.getAsDouble();
+        draining = false;
+        recent.clear();
+        int mine = ++epoch;
+        server = vertx.createHttpServer(new HttpServerOptions().setIdleTimeout(30).setTcpNoDelay(true)
+            .setMaxHeaderSize(16384));
+        server.connectionHandler(c -> {
+            connections.add(c);
+            c.exceptionHandler(e -> { });
+            c.closeHandler(v -> connections.remove(c));
+        });
+        server.requestHandler(this::handle);
+        return server.listen(port, "127.0.0.1").map(s -> {
+            port = s.actualPort();
+            mode = Mode.RUNNING;
+            lastTick = clock.getAsDouble();
+            trace.add(new Seen.HostUp(clock.getAsDouble(), spec.name(), spec.slots(), warm));
+            vertx.setTimer((long) TICK, t -> tick(mine));
+            return port;
+        });
+    }
+
+    /** Dies: connections break, nothing listens. */
+    public Future<Void> crash() {
+        return down(Mode.DOWN);
+    }
+
+    private Future<Void> down(Mode to) {
+        if (server == null) return Future.succeededFuture();
+        mode = to;
+        epoch++;
+        trace.add(new Seen.HostDown(clock.getAsDouble(), spec.name()));
+        held.clear();
+        sending.clear();
+        HttpServer old = server;
+        server = null;
+        for (HttpConnection c : List.copyOf(connections)) c.close();
+        return old.close();
+    }
+
+    /**
+     * Vanishes: no reset, no answer. Connections stay open and are read no more; new ones are taken by the system and
+     * never answered. What it held is void.
+     */
+    public void vanish() {
+        mode = Mode.VANISHED;
+        epoch++;
+        trace.add(new Seen.HostDown(clock.getAsDouble(), spec.name()));
+        held.clear();
+        sending.clear();
+    }
+
+    /** Back from a vanishing: as a new process, cold. */
+    public Future<Integer> reappear() {
+        HttpServer old = server;
+        server = null;
+        for (HttpConnection c : List.copyOf(connections)) c.close();
+        return (old == null ? Future.<Void>succeededFuture() : old.close()).compose(v -> start(false));
+    }
+
+    /** Stands still: requests are read and never answered, media stops; goes on later as if nothing had been. */
+    public void hang(boolean on) {
+        if (mode == Mode.RUNNING || mode == Mode.HUNG) mode = on ? Mode.HUNG : Mode.RUNNING;
+    }
+
+    /** Finishes what plays and refuses what is new. */
+    public void drain(boolean on) {
+        draining = on;
+    }
+
+    /** Another program takes of the link, so that it gives so many times less. */
+    public void neighbour(double factor) {
+        neighbour = factor;
+    }
+
+    /** Answers this part of set-ups with an error, at once. */
+    public void failSetUps(double part) {
+        errors = part;
+    }
+
+    /** Set-ups take so many times longer. */
+    public void slow(double factor) {
+        slow = factor;
+    }
+
+    // ---- links ----
+
+    /** Rates of all sessions here together, kB a second. */
+    double asked() {
+        double sum = 0;
+        for (Held h : held.values()) if (h.runs) sum += h.rate();
+        return sum;
+    }
+
+    private double linkLoad() {
+        return asked() * neighbour * rack.factor() / spec.linkKb();
+    }
+
+    private double warmth() {
+        double cold = physics.settings().rules().cold(), from = physics.settings().rules().coldShare();
+        if (warm || cold <= 0) return 1;
+        return Math.min(1, from + (1 - from) * (clock.getAsDouble() - startedAt) / cold);
+    }
+
+    private void tick(int mine) {
+        if (mine != epoch) return;
+        double now = clock.getAsDouble(), passed = Math.min(500, now - lastTick);
+        lastTick = now;
+        double load = Math.max(linkLoad(), rack.load()), factor = Math.min(physics.ahead(), 1 / Math.max(1e-9, load));
+        double late = physics.settings().see() / 2;
+        share += (Math.min(1, factor) - share) * Math.min(1, passed / late);
+        if (mode == Mode.RUNNING) {
+            for (Sending s : sending) send(s, s.of.rate() * 1000 * factor * passed / 1000);
+            sending.removeIf(s -> s.sent == s.bytes.length() || s.to.ended() || s.to.closed());
+        }
+        held.values().removeIf(h -> {
+            boolean idle = h.runs && now - h.touched > IDLE;
+            if (idle) trace.add(new Seen.Freed(now, spec.name(), h.attempt));
+            return idle;
+        });
+        vertx.setTimer((long) TICK, t -> tick(mine));
+    }
+
+    private void send(Sending s, double bytes) {
+        if (s.to.ended() || s.to.closed() || s.to.writeQueueFull()) return;
+        s.of.touched = clock.getAsDouble();
+        s.due += bytes;
+        int n = (int) Math.min(s.bytes.length() - s.sent, s.due);
+        if (n <= 0) return;
+        s.due -= n;
+        s.to.write(s.bytes.slice(s.sent, s.sent + n));
+        s.sent += n;
+        if (s.sent == s.bytes.length()) s.to.end();
+    }
+
+    private String told() {
+        Map<String, Object> keys = new LinkedHashMap<>();
+        keys.put(Cmsd.SHARE, share);
+        for (String f : physics.settings().reportFields()) {
+            Double v = switch (f) {
+                case "load_share" -> Math.min(1, linkLoad());
+                case "x0" -> linkLoad();
+                case "x1" -> rack.load();
+                case "concurrent" -> (double) held.size();
+                default -> null;
+            };
+            if (v != null) keys.put(Cmsd.LOAD + f, v);
+        }
+        return Cmsd.append(null, spec.name(), keys);
+    }
+
+    // ---- requests ----
+
+    private void handle(HttpServerRequest request) {
+        if (mode == Mode.VANISHED) {
+            request.pause();
+            return;
+        }
+        HttpServerResponse response = request.response();
+        response.exceptionHandler(e -> { });
+        if (request.path().equals("/status")) {
+            if (mode == Mode.RUNNING) response.putHeader(Cmsd.DYNAMIC, told()).end();
+            return;
+        }
+        Matcher m = SESSION.matcher(request.path());
+        if (!m.matches()) {
+            response.setStatusCode(404).end();
+        } else if (request.method() == HttpMethod.POST && m.group(2) == null) {
+            setUp(request, m.group(1));
+        } else if (request.method() == HttpMethod.DELETE && m.group(2) == null) {
+            free(m.group(1));
+            if (mode == Mode.RUNNING) response.setStatusCode(204).end();
+        } else if (request.method() == HttpMethod.GET && m.group(2) != null) {
+            media(response, m.group(1), Integer.parseInt(m.group(2)), Integer.parseInt(m.group(3)));
+        } else {
+            response.setStatusCode(405).end();
+        }
+    }
+
+    private void over(String attempt, Seen.How how) {
+        trace.add(new Seen.SetUpOver(clock.getAsDouble(), spec.name(), attempt, how));
+    }
+
+    private void setUp(HttpServerRequest request, String attempt) {
+        HttpServerResponse response = request.response();
+        Front.Terms terms = physics.terms(String.valueOf(request.getParam("class")));
+        long title, viewer;
+        int rung;
+        try {
+            title = Long.parseLong(request.getParam("title"));
+            viewer = Long.parseLong(request.getParam("viewer"));
+            rung = Integer.parseInt(request.getParam("rung"));
+        } catch (NumberFormatException e) {
+            terms = null;
+            title = viewer = rung = 0;
+        }
+        if (terms == null || rung < 0 || rung >= physics.settings().ladder().kb().length) {
+            response.setStatusCode(400).end("malformed set-up\n");
+            return;
+        }
+        double now = clock.getAsDouble();
+        String gateway = attempt.substring(0, Math.max(0, attempt.indexOf('-')));
+        trace.add(new Seen.SetUp(now, spec.name(), gateway, viewer, attempt, terms.name(), Long.toString(title), rung));
+        response.putHeader("Trestleline-Attempt", attempt);
+        if (pushedOver(now)) {
+            over(attempt, Seen.How.ERRED);
+            down(Mode.FALLEN);
+            return;
+        }
+        boolean full = held.size() >= Math.max(1, spec.slots() * warmth());
+        double guard = physics.settings().fleet().guard();
+        if (mode == Mode.RUNNING && (draining || full || guard > 0 && linkLoad() >= guard)) {
+            over(attempt, Seen.How.REFUSED);
+            response.setStatusCode(503).putHeader("Trestleline-Ran", "never").putHeader(Cmsd.DYNAMIC, told()).end();
+            return;
+        }
+        if (mode == Mode.RUNNING && random.nextDouble() < errors) {
+            over(attempt, Seen.How.ERRED);
+            response.setStatusCode(500).end();
+            return;
+        }
+        var h = new Held(attempt, terms, title, rung);
+        held.put(attempt, h);
+        response.closeHandler(v -> {
+            if (!h.runs && held.remove(attempt, h)) over(attempt, Seen.How.CALLED_OFF);
+        });
+        double work = physics.workFrom() + (physics.workTo() - physics.workFrom()) * random.nextDouble();
+        vertx.setTimer((long) Math.max(1, work * slow / warmth()), t -> begin(h, response));
+    }
+
+    private void begin(Held h, HttpServerResponse response) {
+        if (held.get(h.attempt) != h) return;
+        if (mode == Mode.HUNG) {
+            vertx.setTimer(50, t -> begin(h, response));
+            return;
+        }
+        h.runs = true;
+        h.touched = clock.getAsDouble();
+        over(h.attempt, Seen.How.RAN);
+        response.setStatusCode(201).putHeader(Cmsd.DYNAMIC, told()).end();
+    }
+
+    /** A cold host falls when more than a multiple of what it can take is sent to it for a time. */
+    private boolean pushedOver(double now) {
+        Front.Rules r = physics.settings().rules();
+        if (warm || r.cold() <= 0 || now - startedAt >= r.cold()) return false;
+        recent.addLast(now);
+        while (recent.peekFirst() <= now - r.fall()) recent.removeFirst();
+        return recent.size() > r.overloadFactor() * spec.slots() / r.cold() * warmth() * r.fall() + 1;
+    }
+
+    private void free(String attempt) {
+        Held h = held.remove(attempt);
+        if (h == null) return;
+        if (h.runs) trace.add(new Seen.Freed(clock.getAsDouble(), spec.name(), attempt));
+        else over(attempt, Seen.How.CALLED_OFF);
+    }
+
+    private void media(HttpServerResponse response, String attempt, int rung, int number) {
+        Held h = held.get(attempt);
+        if (h == null || !h.runs || rung >= physics.settings().ladder().kb().length) {
+            if (mode == Mode.RUNNING) response.setStatusCode(404).end();
+            return;
+        }
+        trace.add(new Seen.Played(clock.getAsDouble(), spec.name(), attempt, h.terms.name(), rung));
+        h.rung = rung;
+        h.touched = clock.getAsDouble();
+        Buffer bytes = cache.computeIfAbsent(h.title % 1000 + "/" + h.terms.name() + "/" + rung + "/" + number,
+            k -> Buffer.buffer(Adts.segment(number, physics.segmentS(), h.rate() * 1000)));
+        Map<String, Object> fixed = new HashMap<>();
+        fixed.put("br", Math.round(h.rate() * 8));
+        fixed.put("d", Math.round(physics.segmentS() * 1000));
+        response.putHeader("Content-Type", "audio/aac").putHeader("Content-Length", Integer.toString(bytes.length()))
+            .putHeader(Cmsd.STATIC, Cmsd.fixed(fixed)).putHeader(Cmsd.DYNAMIC, told());
+        var s = new Sending(h, response, bytes);
+        sending.add(s);
+        if (mode == Mode.RUNNING) response.writeHead();
+    }
+
+    /** Runs on the host's own loop; for callers elsewhere. */
+    public <T> Future<T> on(java.util.function.Supplier<Future<T>> task) {
+        Promise<T> p = Promise.promise();
+        vertx.runOnContext(v -> task.get().onComplete(p));
+        return p.future();
+    }
+}
--- /dev/null
+++ b/src/main/java/trestleline/standin/Physics.java
@@ -0,0 +1,29 @@
+package trestleline.standin;
+
+import java.util.List;
+import trestleline.Front;
+
+/**
+ * How stand-in hosts behave, taken from the same settings that gateways are given, and what these do not tell.
+ *
+ * @param workFrom least time (ms) of a set-up on a warm host, {@code workTo} the most
+ * @param vary spread of titles' true rates around the ladder's, e.g. 0.15
+ * @param ahead how much faster than its rate a session is sent where links have room, so that players fill up
+ */
+public record Physics(Front.Settings settings, double segmentS, double workFrom, double workTo, double vary,
+                      double ahead) {
+    List<Front.Terms> classes() {
+        return settings.classes();
+    }
+
+    Front.Terms terms(String service) {
+        for (Front.Terms t : classes()) if (t.name().equals(service)) return t;
+        return null;
+    }
+
+    /** True rate (kB a second) of a title at a rung. */
+    double rate(Front.Terms terms, long title, int rung) {
+        double lean = ((title % 1000) / 999.0 * 2 - 1) * vary;
+        return settings.ladder().kb()[rung] * terms.rateFactor() * (1 + lean);
+    }
+}
--- /dev/null
+++ b/src/test/java/trestleline/ArchitectureTest.java
@@ -0,0 +1,65 @@
+package trestleline;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
+
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.junit.AnalyzeClasses;
+import com.tngtech.archunit.junit.ArchTest;
+import com.tngtech.archunit.lang.ArchRule;
+
+/** The folders are the architecture: dependencies go one way, and what decides is free of I/O, clock and threads. */
+@AnalyzeClasses(packages = "trestleline", importOptions = ImportOption.DoNotIncludeTests.class)
+class ArchitectureTest {
+    private static final String[] IO = {"io.vertx..", "io.netty..", "java.net..", "java.nio.file..", "java.util.concurrent.."};
+
+    @ArchTest
+    static final ArchRule layers = layeredArchitecture().consideringOnlyDependenciesInLayers()
+        .layer("module").definedBy("trestleline")
+        .layer("drill").definedBy("trestleline.drill")
+        .layer("core").definedBy("trestleline.core")
+        .layer("hints").definedBy("trestleline.hints")
+        .layer("media").definedBy("trestleline.media")
+        .layer("config").definedBy("trestleline.config")
+        .layer("judge").definedBy("trestleline.judge")
+        .layer("hosts").definedBy("trestleline.hosts")
+        .layer("listing").definedBy("trestleline.listing")
+        .layer("http").definedBy("trestleline.http")
+        .layer("daemon").definedBy("trestleline.daemon")
+        .layer("standin").definedBy("trestleline.standin")
+        .layer("rehearsal").definedBy("trestleline.rehearsal")
+        .layer("cli").definedBy("trestleline.cli")
+        .whereLayer("module").mayNotAccessAnyLayer()
+        .whereLayer("hints").mayNotAccessAnyLayer()
+        .whereLayer("media").mayNotAccessAnyLayer()
+        .whereLayer("judge").mayNotAccessAnyLayer()
+        .whereLayer("drill").mayOnlyAccessLayers("module")
+        .whereLayer("core").mayOnlyAccessLayers("module")
+        .whereLayer("config").mayOnlyAccessLayers("module")
+        .whereLayer("hosts").mayOnlyAccessLayers("module", "core", "hints")
+        .whereLayer("listing").mayOnlyAccessLayers("module", "core", "config", "hosts")
+        .whereLayer("http").mayOnlyAccessLayers("module", "core", "config", "hints", "hosts", "media")
+        .whereLayer("daemon").mayOnlyAccessLayers("module", "core", "config", "hosts", "listing", "http")
+        .whereLayer("standin").mayOnlyAccessLayers("module", "hints", "media", "judge", "listing")
+        .whereLayer("rehearsal").mayOnlyAccessLayers("module", "core", "config", "judge", "standin", "daemon", "listing")
+        .whereLayer("cli").mayOnlyAccessLayers("core", "config", "daemon", "standin", "rehearsal", "drill");
+
+    /** Whoever takes only the module needs none of the rest. */
+    @ArchTest
+    static final ArchRule theModuleStandsAlone = noClasses().that().resideInAPackage("trestleline")
+        .should().dependOnClassesThat().resideOutsideOfPackages("trestleline", "java.lang..", "java.util", "java.util.function");
+
+    @ArchTest
+    static final ArchRule coreAndJudgeDoNoIo = noClasses().that().resideInAnyPackage("trestleline.core", "trestleline.judge",
+        "trestleline.hints", "trestleline.media").should().dependOnClassesThat().resideInAnyPackage("io.vertx..",
+            "io.netty..", "java.nio.file..", "java.util.concurrent..");
+
+    @ArchTest
+    static final ArchRule theModuleDoesNoIo = noClasses().that().resideInAPackage("trestleline")
+        .should().dependOnClassesThat().resideInAnyPackage(IO);
+
+    @ArchTest
+    static final ArchRule gatewaysKnowNoStandIns = noClasses().that().resideInAnyPackage("trestleline.core",
+        "trestleline.hosts", "trestleline.listing", "trestleline.http", "trestleline.daemon")
+        .should().dependOnClassesThat().resideInAnyPackage("trestleline.standin", "trestleline.rehearsal", "trestleline.judge");
+}
