--- a/src/main/java/trestleline/judge/Judge.java
+++ b/src/main/java/trestleline/judge/Judge.java
@@ -21,6 +21,7 @@
     private final Map<String, Attempt> attempts = new LinkedHashMap<>();
     private final Map<String, Map<String, Seen.Told>> told = new HashMap<>();
     private final Map<String, Double> upSince = new HashMap<>();
+    private final Set<String> down = new HashSet<>();
     private final Map<String, Integer> generation = new HashMap<>();
     private final Map<String, List<double[]>> stalls = new HashMap<>();
     private final Map<String, Host> hosts = new HashMap<>();
@@ -92,7 +93,7 @@
         else if (s instanceof Seen.Freed e) free(e.attempt());
         else if (s instanceof Seen.Played e) played(e);
         else if (s instanceof Seen.GatewayDown e) gatewayDown(e);
-        else if (s instanceof Seen.GatewayUp e) upSince.put(e.gateway(), e.at());
+        else if (s instanceof Seen.GatewayUp e) gatewayUp(e);
         else if (s instanceof Seen.HostUp e) hostUp(e);
         else if (s instanceof Seen.HostDown e) hostDown(e);
     }
@@ -108,7 +109,9 @@
     }
 
     private void asked(Seen.Asked e) {
-        Ask before = asks.put(key(e.viewer(), e.gateway()), new Ask(e, generation.getOrDefault(e.gateway(), 0)));
+        var ask = new Ask(e, generation.getOrDefault(e.gateway(), 0));
+        ask.excused = down.contains(e.gateway()); // a dying process may still take a connection, not a request
+        Ask before = asks.put(key(e.viewer(), e.gateway()), ask);
         if (before != null) close(before, e.at());
         taken.computeIfAbsent(e.gateway(), g -> new ArrayDeque<>()).addLast(e.at());
     }
@@ -159,6 +162,7 @@
 
     private void gatewayDown(Seen.GatewayDown e) {
         generation.merge(e.gateway(), 1, Integer::sum);
+        down.add(e.gateway());
         told.remove(e.gateway());
         taken.remove(e.gateway());
         further.remove(e.gateway());
@@ -168,6 +172,11 @@
         }
     }
 
+    private void gatewayUp(Seen.GatewayUp e) {
+        upSince.put(e.gateway(), e.at());
+        down.remove(e.gateway());
+    }
+
     // ---- rule 2: no set-up twice, never two out at once ----
 
     private void setUp(Seen.SetUp e) {
--- /dev/null
+++ b/src/main/java/trestleline/measure/Measurement.java
@@ -0,0 +1,124 @@
+package trestleline.measure;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.http.HttpMethod;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.HdrHistogram.Histogram;
+import trestleline.Front;
+import trestleline.config.GatewayConfig;
+import trestleline.config.Reader;
+import trestleline.core.WallClock;
+import trestleline.daemon.GatewayNode;
+import trestleline.listing.Listed;
+import trestleline.standin.ListFeed;
+import trestleline.standin.Trace;
+
+/** What the gateway costs: against a bare pass-through in the same run, and what the module costs its event loop. */
+public final class Measurement {
+    private static final int CLIENTS = 32, PIECE = 65536, ROUNDS = 3;
+    private static final String SETTINGS = """
+        { fronts: 1, zone: "z", classes: [{ name: "safe", aim: 1000, deadline: 5000, effect: "pure", worth: 1 }],
+          tenants: [{ name: "a" }], ladder: { kb: [100, 200, 400], worth: [0.3, 0.6, 1] },
+          fleet: { places: 1, racks: 1, linkUnitKb: 100000000, rackLinkKb: 100000000, kinds: [{ name: "k", slots: 100000 }] },
+          list: { url: "URL" }, media: { segmentS: 1 }, limits: { bufferMs: 600000, idleMs: 600000 },
+          titles: [{ name: "one", seconds: 1, home: 0, holders: 1 }, { name: "long", seconds: 80000, home: 0, holders: 1 }] }""";
+    private final Consumer<String> say;
+
+    public Measurement(Consumer<String> say) {
+        this.say = say;
+    }
+
+    private static <T> T get(Future<T> f) throws Exception {
+        return f.toCompletionStage().toCompletableFuture().get(120, TimeUnit.SECONDS);
+    }
+
+    private void say(String format, Object... values) {
+        say.accept(String.format(Locale.ROOT, format, values));
+    }
+
+    /** Times the module at four sizes of fleet. */
+    public void module(double seconds) {
+        say("module: us an event, by kind (p50 / p99 / max), after a minute of warm-up in simulated time");
+        DecideCost.run(60, 4, seconds); // warms the compiler up
+        for (int[] size : new int[][] {{12, 3}, {60, 40}, {160, 107}, {300, 200}, {60, 4}, {160, 8}, {300, 15}}) {
+            DecideCost.Result r = DecideCost.run(size[0], size[1], seconds);
+            var line = new StringBuilder(String.format(Locale.ROOT, "%d hosts, %d gateways, up to %d own sessions:",
+                r.hosts(), r.fronts(), r.sessions()));
+            for (Map.Entry<String, Histogram> e : r.ns().entrySet()) {
+                Histogram h = e.getValue();
+                line.append(String.format(Locale.ROOT, " %s %.0f / %.0f / %.0f;", e.getKey(),
+                    h.getValueAtPercentile(50) / 1e3, h.getValueAtPercentile(99) / 1e3, h.getMaxValue() / 1e3));
+            }
+            say.accept(line.toString());
+        }
+    }
+
+    /** Times set-ups and pieces of media through a gateway against a bare pass-through, in turns. */
+    public void path(double seconds) throws Exception {
+        Vertx ends = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+        Vertx bare = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+        Vertx loads = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+        var clock = new WallClock();
+        var feed = new ListFeed(ends, Trace.none(), clock);
+        get(feed.start());
+        int host = get(Stub.host(ends, PIECE)), pass = get(Stub.passThrough(bare, host));
+        Reader r = Reader.parse("measurement", SETTINGS.replace("URL", feed.url("0")));
+        var node = new GatewayNode(GatewayConfig.read(r));
+        ends.runOnContext(v -> feed.publish(List.of(new Listed(new Front.Entry("host-a", "Running", "k", 0, "z", 1, 0),
+            "127.0.0.1", host))));
+        int gateway = get(node.start());
+        while (get(node.counts()).hosts() == 0) Thread.onSpinWait();
+        try {
+            say("path: %d clients, pieces of %d bytes, %d rounds of %.0f s each in turn, the first for warming up", CLIENTS,
+                PIECE, ROUNDS, seconds);
+            for (int round = 0; round < ROUNDS; round++) {
+                Load p = get(Load.same(loads, pass, CLIENTS, seconds, HttpMethod.GET, c -> "/sessions/x/0/0.aac"));
+                Load g = get(Load.pieces(loads, gateway, CLIENTS, seconds, "/a/safe/long/"));
+                say("piece, round %d: gateway/pass-through throughput %.2f, p50 %.2f, p99 %.2f (failed %d, %d)", round,
+                    g.perS(seconds) / p.perS(seconds), ratio(g, p, 50), ratio(g, p, 99), g.failed(), p.failed());
+                Load ps = get(Load.same(loads, pass, CLIENTS, seconds, HttpMethod.POST, c -> "/sessions/x"));
+                Load gs = get(Load.sessions(loads, gateway, CLIENTS, seconds, "/a/safe/one/"));
+                say("set-up, round %d: gateway/pass-through p50 %.2f, p99 %.2f (failed %d, %d)", round, ratio(gs, ps, 50),
+                    ratio(gs, ps, 99), gs.failed(), ps.failed());
+            }
+            memory(loads, gateway, node);
+        } finally {
+            get(node.stop());
+            for (Vertx v : List.of(ends, bare, loads)) get(v.close());
+        }
+    }
+
+    private static double ratio(Load a, Load b, double percentile) {
+        return (double) a.us().getValueAtPercentile(percentile) / Math.max(1, b.us().getValueAtPercentile(percentile));
+    }
+
+    private void memory(Vertx loads, int gateway, GatewayNode node) throws Exception {
+        int n = 1000;
+        long before = heap();
+        int had = get(node.counts()).playing();
+        var client = loads.createHttpClient();
+        for (int i = 0; i < n; i++) {
+            get(client.request(HttpMethod.GET, gateway, "127.0.0.1", "/a/safe/long/index.m3u8").compose(q -> q.send())
+                .compose(x -> x.end()));
+        }
+        int open = get(node.counts()).playing() - had;
+        say("memory: %d open sessions, %d bytes of heap each, module included", open, (heap() - before) / Math.max(1, open));
+        get(client.close());
+    }
+
+    private static long heap() throws InterruptedException {
+        long least = Long.MAX_VALUE;
+        for (int i = 0; i < 5; i++) {
+            System.gc();
+            Thread.sleep(50);
+            least = Math.min(least, Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory());
+        }
+        return least;
+    }
+}
--- a/src/main/java/trestleline/rehearsal/Arriving.java
+++ b/src/main/java/trestleline/rehearsal/Arriving.java
@@ -10,6 +10,8 @@
 import java.util.SplittableRandom;
 import java.util.function.DoubleSupplier;
 import org.HdrHistogram.Histogram;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import trestleline.Front;
 import trestleline.config.GatewayConfig;
 import trestleline.standin.Player;
@@ -17,6 +19,7 @@
 
 /** Viewers who come by chance, whatever became of those before them. On the stand-ins' event loop. */
 final class Arriving {
+    private static final Logger LOG = LoggerFactory.getLogger(Arriving.class);
     private final Vertx vertx;
     private final Day day;
     private final List<Runner> gateways;
@@ -164,6 +167,7 @@
         tally.failed += r.failed;
         tally.cut += r.cut;
         tally.left += r.left;
+        if (r.cutBecause != null) LOG.atInfo().addKeyValue("because", r.cutBecause).log("a viewer was cut off");
         tally.segments += r.segments;
         tally.breaks += r.breaks;
         tally.stalledMs += r.stalledMs;
--- a/src/main/java/trestleline/rehearsal/Mishaps.java
+++ b/src/main/java/trestleline/rehearsal/Mishaps.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Random;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import trestleline.judge.Seen;
 import trestleline.standin.MediaHost;
 import trestleline.standin.Rack;
@@ -13,6 +15,7 @@
 
 /** Does a day's troubles at the sockets, at their times. On the stand-ins' event loop. */
 final class Mishaps {
+    private static final Logger LOG = LoggerFactory.getLogger(Mishaps.class);
     private final Vertx vertx;
     private final Fleet fleet;
     private final List<Runner> gateways;
@@ -55,6 +58,7 @@
 
     private void begin(Day.Trouble t) {
         say.accept("trouble: " + t.name() + " for " + t.seconds() + " s");
+        LOG.atInfo().addKeyValue("trouble", t.name()).addKeyValue("at", now()).log("trouble");
         switch (t.name()) {
             case "balancer_crash" -> gatewayCrash(t);
             case "balancer_stall" -> gatewayStall(t, t.seconds());
--- a/src/main/java/trestleline/standin/Player.java
+++ b/src/main/java/trestleline/standin/Player.java
@@ -31,6 +31,8 @@
         public int asked, granted, refused, failed, cut, left, segments, breaks, late;
         public double firstAnswerMs = Double.NaN, stalledMs;
         public boolean finished;
+        /** Why an asking was cut off, and when and where it was; null: none was. */
+        public String cutBecause;
     }
 
     private final Vertx vertx;
@@ -127,6 +129,8 @@
                 answered[0] = true;
                 if (r.failed()) {
                     result.cut++;
+                    result.cutBecause = r.cause().getMessage() + ", gateway " + name + ", asked at " + sent + ", cut at "
+                        + clock.getAsDouble();
                     comeAgain();
                     return;
                 }
--- a/src/test/java/trestleline/judge/JudgeTest.java
+++ b/src/test/java/trestleline/judge/JudgeTest.java
@@ -61,6 +61,12 @@
         see(asked(0, 1, "safe"), new Seen.Left(50, 1, "0"), asked(100, 2, "safe"), new Seen.GatewayDown(200, "0")).guilty();
     }
 
+    @Test
+    void whoAsksADeadGatewayIsOwedNothingUntilItIsBack() {
+        see(new Seen.GatewayDown(200, "0"), asked(210, 2, "safe"), new Seen.GatewayUp(300, "0")).guilty();
+        see(asked(310, 3, "safe")).guilty(1);
+    }
+
     @Test
     void aGatewayHeldStillIsLateAfterItRanAgain() {
         see(new Seen.Stalled(2900, "0", 4500), asked(0, 1, "safe"), answered(4600, 1, 502)).guilty();
