--- a/src/main/java/trestleline/Decide.java
+++ b/src/main/java/trestleline/Decide.java
@@ -10,7 +10,6 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
-import java.util.function.BiConsumer;
 import trestleline.State.Freed;
 import trestleline.State.Pipe;
 import trestleline.State.Server;
@@ -40,6 +39,8 @@
     private static final double PERIOD = 4000;
     /** Steps of the knapsack in the lowest rate of the ladder. */
     private static final int UNITS = 16;
+    /** Steps that all sessions' rates are cut into at most: a re-pack's time goes by the square of it. */
+    private static final double STEPS = 12000;
     /** Weight, in sessions, of the even part against the number of sessions that this front sees. */
     private static final double PRIOR = 4;
     /** How much faster the fleet's budget is regained while no own session is short for a period. */
@@ -643,12 +644,29 @@
         if (set.onRequest() && !subscribed && now - askedAt > set.rules().askEvery() / 4) subscribe();
     }
 
-    /** The best value of some sessions for every budget in steps, and how to take it. */
-    private record Packing(double[] value, BiConsumer<Integer, Map<Session, Integer>> take) { }
+    /** The best value of some sessions by budget; {@code choice}: a session's rung, or the second's part. */
+    private record Packing(double[] value, int[] choice, Session of, Packing first, Packing second) {
+        /** Takes what fits a budget: a loop along the chain, as thousands of sessions overflow the stack. */
+        void take(int budget, Map<Session, Integer> plan) {
+            ArrayDeque<Runnable> later = new ArrayDeque<>();
+            Packing p = this;
+            int g = budget;
+            for (; p.second != null; p = p.first) {
+                int part = p.choice[g];
+                Packing second = p.second;
+                later.push(() -> second.take(part, plan));
+                g -= part;
+            }
+            if (p.of != null) plan.put(p.of, p.choice[g]);
+            later.forEach(Runnable::run);
+        }
+    }
 
     /** OptCycle: a knapsack over each server's sessions in its link, each rack's servers, then all racks. */
     private void optCycle() {
-        double unit = set.ladder().kb()[0] / UNITS;
+        double wanted = 0;
+        for (Session s : sessions.values()) if (s.playing) wanted += rate(s, top(s));
+        double unit = Math.max(set.ladder().kb()[0] / UNITS, wanted / STEPS);
         Map<Pipe, Packing> byRack = new LinkedHashMap<>();
         Map<Pipe, Double> fixed = new HashMap<>();
         double allFixed = set.ladder().kb()[0];
@@ -676,7 +694,7 @@
         if (all == null) return;
         all = join(null, all, (room(fleet) + fleet.own - allFixed) / unit);
         Map<Session, Integer> plan = new LinkedHashMap<>();
-        all.take.accept(all.value.length - 1, plan);
+        all.take(all.value.length - 1, plan);
         for (boolean up : new boolean[] {false, true}) {
             plan.forEach((s, rung) -> {
                 if (rung > s.rung == up) setRung(s, rung);
@@ -696,12 +714,12 @@
                 rung[g] = r;
             }
         }
-        return new Packing(value, (g, plan) -> plan.put(s, rung[g]));
+        return new Packing(value, rung, s, null, null);
     }
 
     /** Two packings in one, up to a limit, but never under what both need at least. */
     private Packing join(Packing a, Packing b, double limit) {
-        Packing first = a == null ? new Packing(new double[1], (g, plan) -> { }) : a;
+        Packing first = a == null ? new Packing(new double[1], null, null, null, null) : a;
         int least = least(first.value) + least(b.value), most = first.value.length + b.value.length - 2;
         double[] value = new double[(int) Math.max(least, Math.min(most, limit)) + 1];
         int[] split = new int[value.length];
@@ -714,10 +732,7 @@
                 split[g] = h;
             }
         }
-        return new Packing(value, (g, plan) -> {
-            first.take.accept(g - split[g], plan);
-            b.take.accept(split[g], plan);
-        });
+        return new Packing(value, split, null, first, b);
     }
 
     private static int least(double[] value) {
--- a/src/main/java/trestleline/config/GatewayConfig.java
+++ b/src/main/java/trestleline/config/GatewayConfig.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import trestleline.Front;
+import trestleline.media.Playlist;
 
 /**
  * All settings of one gateway. Times are milliseconds unless a name ends in {@code S} (seconds); rates are kB a second.
@@ -59,7 +60,7 @@
             b.num("headMs", 50, INF, 5000), b.num("idleMs", 1000, INF, 30_000), b.num("marginMs", 0, 10_000, 60),
             b.num("bufferMs", 0, 600_000, 6000), b.whole("headBytes", 512, 65536, 8192));
         Map<String, Title> titles = new HashMap<>();
-        for (Title t : r.objects("titles", 1, t -> title(t, settings.fleet().places()))) {
+        for (Title t : r.objects("titles", 1, t -> title(t, settings.fleet().places(), media.segmentS()))) {
             if (titles.put(t.name(), t) != null) r.error("titles", "two are named '" + t.name() + "'");
         }
         String handover = r.text("handover", ".+", "a file", "");
@@ -71,9 +72,10 @@
         return r.text(field, "127\\.\\d{1,3}\\.\\d{1,3}\\.\\d{1,3}|localhost", "a loopback address", absent);
     }
 
-    private static Title title(Reader t, int places) {
+    /** A title has {@value Playlist#MOST} segments at most: its playlist is written on the event loop. */
+    private static Title title(Reader t, int places, double segmentS) {
         String name = t.text("name", NAME, NAMED);
-        return new Title(name, number(name), t.num("seconds", 0.1, 86400), t.whole("home", 0, 1_000_000),
+        return new Title(name, number(name), t.num("seconds", 0.1, Playlist.MOST * Math.max(0.1, segmentS)), t.whole("home", 0, 1_000_000),
             t.whole("holders", 1, places));
     }
 
--- a/src/main/java/trestleline/core/Gateway.java
+++ b/src/main/java/trestleline/core/Gateway.java
@@ -242,7 +242,7 @@
         List<Front.Action> actions;
         try {
             actions = module.on(clock.getAsDouble(), event);
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | StackOverflowError e) {
             bugs++;
             LOG.atError().setCause(e).addKeyValue("event", event).log("the decision module threw");
             return;
--- a/src/main/java/trestleline/media/Playlist.java
+++ b/src/main/java/trestleline/media/Playlist.java
@@ -6,6 +6,9 @@
 
 /** HLS media playlists of recorded titles (RFC 8216, section 4.3). */
 public final class Playlist {
+    /** Segments of a title at most: a playlist is written on an event loop. */
+    public static final int MOST = 20_000;
+
     private Playlist() { }
 
     /** Segments of a title; the last may be short. */
@@ -19,9 +22,8 @@
         var text = new StringBuilder(128 + 40 * n);
         text.append("#EXTM3U\n#EXT-X-VERSION:3\n#EXT-X-TARGETDURATION:").append((int) Math.ceil(segmentS))
             .append("\n#EXT-X-MEDIA-SEQUENCE:0\n#EXT-X-PLAYLIST-TYPE:VOD\n");
-        for (int i = 0; i < n; i++) {
-            text.append(String.format(Locale.ROOT, "#EXTINF:%.3f,\n%s/%d.aac\n", segmentS, base, i));
-        }
+        String before = String.format(Locale.ROOT, "#EXTINF:%.3f,\n%s/", segmentS, base);
+        for (int i = 0; i < n; i++) text.append(before).append(i).append(".aac\n");
         return text.append("#EXT-X-ENDLIST\n").toString();
     }
 
--- a/src/test/java/trestleline/SizeTest.java
+++ b/src/test/java/trestleline/SizeTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
@@ -135,4 +136,23 @@
         field.setAccessible(true);
         assertTrue(((Map<?, ?>) field.get(w.front)).size() <= 6);
     }
+
+    /** A re-pack of thousands of sessions took tens of seconds, in which the gateway answered nobody. */
+    @Test
+    void aRepackOfThousandsOfSessionsDoesNotHoldTheGatewayUp() {
+        Scene w = Scene.of();
+        w.linkKb = 2e7;
+        w.rackKb = 2e7;
+        w.slots = 10_000;
+        w.places = 1;
+        w.start("a");
+        for (int i = 1; i <= 4000; i++) {
+            w.request(i, "token");
+            w.later(1).first(i, "a");
+        }
+        assertTrue(Scene.only(w.log, Front.Transmit.class).size() == 4000);
+        w.log.clear();
+        assertTimeoutPreemptively(java.time.Duration.ofSeconds(10), () -> w.later(4000).feed(new Front.Due("pack")));
+        assertEquals(List.of(), Scene.only(w.log, Front.Rate.class), "all have the top rung already, and room");
+    }
 }
