--- /dev/null
+++ b/src/main/java/trestleline/billing/LedgerKeeper.java
@@ -0,0 +1,376 @@
+package trestleline.billing;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientAgent;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import java.io.IOException;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.DoubleSupplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import trestleline.core.Attempt;
+import trestleline.core.Books;
+import trestleline.core.Hosts;
+import trestleline.core.Outcome;
+import trestleline.hosts.HostClient;
+import trestleline.ledger.Clerk;
+import trestleline.ledger.Entry;
+import trestleline.ledger.Keys;
+import trestleline.ledger.Outbox;
+import trestleline.ledger.Sealed;
+import trestleline.ledger.store.Store;
+import trestleline.ledger.store.Writer;
+
+/**
+ * Keeps the ledger of one running gateway: carries out what {@link Clerk} and {@link Outbox} decide, on the gateway's event
+ * loop; the store is used on a thread of its own. Talks to billing and asks hosts for receipts (docs/ledger-wire.md).
+ */
+public final class LedgerKeeper implements Books {
+    private static final Logger LOG = LoggerFactory.getLogger(LedgerKeeper.class);
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final long TURN = 50;
+    private static final int ANSWER_MS = 1000;
+
+    /** {@code desk}: address of billing, empty for none. */
+    public record Settings(String gateway, String generation, String desk, Clerk.Terms clerk, Outbox.Terms outbox) { }
+
+    /** What an operator sees. */
+    public record Counts(long entries, int backlog, int unsettled, long givenUp, long heldBack, long toExport,
+                         Map<String, Outbox.Bar> barred) { }
+
+    private final Vertx vertx;
+    private final Context loop;
+    private final Settings settings;
+    private final Keys keys;
+    private final Clerk clerk;
+    private final Outbox outbox;
+    private final Writer writer;
+    private final HostClient hosts;
+    private final DoubleSupplier clock;
+    private final HttpClientAgent client;
+    private final Set<String> swept = new HashSet<>();
+    /** Attempts of earlier generations settled in this one: bounded by what those left open or lost. */
+    private final Set<String> settledHere = new HashSet<>();
+    private String head = Sealed.NONE;
+    private double sweepFrom;
+    private long entries;
+    private boolean stopped, ready;
+
+    public LedgerKeeper(Vertx vertx, Settings settings, Keys keys, Store store, HostClient hosts, DoubleSupplier clock,
+                        long seed) {
+        this.vertx = vertx;
+        this.loop = vertx.getOrCreateContext();
+        this.settings = settings;
+        this.keys = keys;
+        this.hosts = hosts;
+        this.clock = clock;
+        clerk = new Clerk(settings.gateway(), settings.generation(), settings.clerk());
+        outbox = new Outbox(settings.outbox(), seed);
+        client = vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(1000).setKeepAlive(false),
+            new PoolOptions().setHttp1MaxSize(2).setMaxWaitQueueSize(4));
+        writer = new Writer(store, new Writer.Told() {
+            @Override
+            public void safe(long lastSeq) {
+                loop.runOnContext(v -> {
+                    clerk.safe(lastSeq);
+                    outbox.safe(settings.generation(), lastSeq + 1);
+                    export();
+                });
+            }
+
+            @Override
+            public void failed(IOException why) {
+                loop.runOnContext(v -> clerk.failed());
+            }
+        });
+    }
+
+    private record Recovered(long entries, Map<String, Long> next, String follows, double last) { }
+
+    /** Reads what earlier generations left, writes the start of this one, and begins to export. */
+    public Future<Void> start() {
+        Promise<Void> started = Promise.promise();
+        writer.on(store -> {
+            String[] last = {Sealed.NONE};
+            double[] at = {0};
+            store.scan(line -> {
+                Sealed s = Sealed.parse(line);
+                Entry e = Entry.decode(s.text());
+                clerk.recover(e); // nobody else uses it before the start is done
+                last[0] = e.place() + ":" + s.mac();
+                at[0] = Math.max(at[0], e.eventAt());
+            });
+            Map<String, Long> next = new LinkedHashMap<>();
+            for (String g : store.generations()) next.put(g, store.next(g));
+            return new Recovered(store.size(), next, last[0], at[0]);
+        }).whenComplete((r, e) -> loop.runOnContext(v -> {
+            if (e != null) {
+                started.fail(e);
+                return;
+            }
+            r.next().forEach(outbox::safe);
+            entries = r.entries();
+            sweepFrom = r.last() - settings.clerk().askForMs();
+            put(clerk.start(r.follows(), clock.getAsDouble()));
+            ready = true;
+            turn();
+            started.complete();
+        }));
+        return started.future();
+    }
+
+    private void put(Entry e) {
+        if (e == null) return;
+        Sealed s = Sealed.seal(keys, head, e);
+        head = s.mac();
+        entries++;
+        writer.add(e.seq(), s.line());
+    }
+
+    // ---- the core's side ----
+
+    private static Clerk.Paid paid(Attempt a) {
+        return new Clerk.Paid(a.id(), a.ask().tenant(), a.ask().service(), a.ask().title(), a.ask().key(), a.host());
+    }
+
+    @Override
+    public void intend(Attempt attempt) {
+        if (ready && !stopped) put(clerk.intend(paid(attempt), clock.getAsDouble()));
+    }
+
+    @Override
+    public Hosts.Go mayWrite(Attempt attempt) {
+        if (!ready) return Hosts.Go.WAIT;
+        return switch (clerk.mayWrite(attempt.id())) {
+            case GO -> Hosts.Go.WRITE;
+            case NOT_YET -> Hosts.Go.WAIT;
+            case NO -> Hosts.Go.DROP;
+        };
+    }
+
+    @Override
+    public void written(Attempt attempt) {
+        if (ready) clerk.written(attempt.id());
+    }
+
+    @Override
+    public void over(Attempt attempt, Outcome outcome) {
+        if (ready && !stopped) put(clerk.over(attempt.id(), outcome == Outcome.OK, outcome.neverRan(), clock.getAsDouble()));
+    }
+
+    // ---- time ----
+
+    private void turn() {
+        if (stopped) return;
+        double now = clock.getAsDouble();
+        for (Clerk.Paid p : clerk.ask(now)) ask(p);
+        for (Entry close = clerk.close(now); close != null; close = clerk.close(now)) put(close);
+        sweep();
+        export();
+        vertx.setTimer(TURN, t -> turn());
+    }
+
+    /** Asks the host of an attempt of unknown end whether it ran. Asked so, a host that does not know it never runs it. */
+    private void ask(Clerk.Paid p) {
+        hosts.receipt(p.host(), p.attempt()).onSuccess(ran -> {
+            if (stopped) return;
+            settledHere.add(p.attempt());
+            put(clerk.receipt(p.attempt(), ran, clock.getAsDouble()));
+        });
+    }
+
+    /**
+     * Once a start and host: what ran there for this gateway, of earlier generations. A ledger restored from an old copy
+     * knows nothing of some of it.
+     */
+    private void sweep() {
+        for (String host : hosts.known()) {
+            if (!swept.add(host)) continue;
+            hosts.receipts(host, settings.gateway(), sweepFrom).onComplete(got -> {
+                if (stopped) return;
+                if (got.failed()) swept.remove(host);
+                else writer.on(store -> unknownTo(store, got.result())).thenAccept(found -> loop.runOnContext(v -> {
+                    for (HostClient.Receipt r : found) found(host, r);
+                }));
+            });
+        }
+    }
+
+    private void found(String host, HostClient.Receipt r) {
+        if (stopped || !settledHere.add(r.attempt()) || r.attempt().startsWith(settings.gateway() + "-" + settings.generation() + "-")) return;
+        put(clerk.found(new Clerk.Paid(r.attempt(), r.tenant(), r.service(), r.title(), r.viewer(), host), r.at(),
+            clock.getAsDouble()));
+    }
+
+    /** Receipts that no entry settles as run. */
+    private static List<HostClient.Receipt> unknownTo(Store store, List<HostClient.Receipt> all) throws IOException {
+        Map<String, HostClient.Receipt> left = new LinkedHashMap<>();
+        for (HostClient.Receipt r : all) left.put(r.attempt(), r);
+        if (!left.isEmpty()) {
+            store.scan(line -> {
+                Entry e = Entry.decode(Sealed.parse(line).text());
+                if (e.amount() > 0) left.remove(e.attempt());
+            });
+        }
+        return List.copyOf(left.values());
+    }
+
+    // ---- export ----
+
+    private void export() {
+        if (stopped || !ready || settings.desk().isEmpty()) return;
+        Outbox.Step step = outbox.next(clock.getAsDouble());
+        if (step instanceof Outbox.AskCursor) askCursor();
+        else if (step instanceof Outbox.Send s) send(s);
+    }
+
+    private RequestOptions to(HttpMethod method, String path) {
+        return new RequestOptions().setAbsoluteURI(settings.desk() + path).setMethod(method).setTimeout(ANSWER_MS);
+    }
+
+    private Future<Buffer> call(HttpMethod method, String path, Buffer body) {
+        Promise<Buffer> p = Promise.promise();
+        long timer = vertx.setTimer(ANSWER_MS, t -> p.tryFail("no answer in time"));
+        client.request(to(method, path)).compose(r -> body == null ? r.send() : r.send(body))
+            .compose(r -> r.statusCode() == 200 || r.statusCode() == 409
+                ? r.body().compose(b -> r.statusCode() == 200 ? Future.succeededFuture(b)
+                    : Future.failedFuture(new Refused()))
+                : Future.failedFuture("status " + r.statusCode()))
+            .onComplete(got -> {
+                vertx.cancelTimer(timer);
+                if (got.succeeded()) p.tryComplete(got.result());
+                else p.tryFail(got.cause());
+            });
+        return p.future();
+    }
+
+    private static final class Refused extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+
+        Refused() {
+            super("the desk holds something else there", null, false, false);
+        }
+    }
+
+    private void failed(Throwable why) {
+        LOG.atInfo().addKeyValue("cause", String.valueOf(why.getMessage())).log("not exported");
+        if (why instanceof Refused) outbox.refused(clock.getAsDouble());
+        else outbox.failed(clock.getAsDouble());
+    }
+
+    private void askCursor() {
+        call(HttpMethod.GET, "/cursor?gateway=" + settings.gateway(), null).onComplete(got -> {
+            if (stopped) return;
+            if (got.failed()) {
+                failed(got.cause());
+                return;
+            }
+            Map<String, long[]> held = new LinkedHashMap<>();
+            Map<String, String> macs = new LinkedHashMap<>();
+            try {
+                JsonNode n = JSON.readTree(got.result().getBytes()).path("generations");
+                n.fields().forEachRemaining(f -> {
+                    held.put(f.getKey(), new long[] {f.getValue().path("next").asLong()});
+                    macs.put(f.getKey(), f.getValue().path("mac").asText());
+                });
+            } catch (IOException e) {
+                failed(e);
+                return;
+            }
+            compare(held, macs).whenComplete((same, e) -> loop.runOnContext(v -> {
+                if (stopped) return;
+                if (e != null) {
+                    failed(e);
+                    return;
+                }
+                held.forEach((g, next) -> outbox.cursor(g, next[0], same.get(g)));
+                outbox.cursorsDone();
+                outbox.barred().forEach((g, bar) -> LOG.atError().addKeyValue("generation", g).addKeyValue("bar", bar)
+                    .log("generation is not exported"));
+                export();
+            }));
+        });
+    }
+
+    /** Whether the desk's last seal of each generation is the one stored here at that place. */
+    private java.util.concurrent.CompletableFuture<Map<String, Boolean>> compare(Map<String, long[]> held,
+                                                                                 Map<String, String> macs) {
+        return writer.on(store -> {
+            Map<String, Boolean> same = new LinkedHashMap<>();
+            for (String g : held.keySet()) {
+                long next = held.get(g)[0];
+                List<String> there = next == 0 ? List.of() : store.range(g, next - 1, next);
+                same.put(g, there.isEmpty() || Sealed.parse(there.get(0)).mac().equals(macs.get(g)));
+            }
+            return same;
+        });
+    }
+
+    private void send(Outbox.Send s) {
+        writer.on(store -> store.range(s.generation(), s.from(), s.to())).whenComplete((lines, e) -> loop.runOnContext(v -> {
+            if (stopped) return;
+            if (e != null || lines.isEmpty()) {
+                failed(e == null ? new IOException("nothing stored there") : e);
+                return;
+            }
+            String path = "/batches?gateway=" + settings.gateway() + "&generation=" + s.generation() + "&number="
+                + s.number() + "&from=" + s.from();
+            call(HttpMethod.POST, path, Buffer.buffer(String.join("\n", lines) + "\n")).onComplete(got -> {
+                if (stopped) return;
+                if (got.failed()) {
+                    failed(got.cause());
+                    return;
+                }
+                try {
+                    JsonNode n = JSON.readTree(got.result().getBytes());
+                    long next = n.path("next").asLong();
+                    int last = (int) (next - s.from()) - 1;
+                    boolean same = last < 0 || last >= lines.size()
+                        || Sealed.parse(lines.get(last)).mac().equals(n.path("mac").asText());
+                    boolean ours = n.path("generation").asText().equals(s.generation()) && n.path("number").asLong() == s.number();
+                    if (!ours) throw new IOException("an answer to another batch");
+                    outbox.acknowledged(s.generation(), s.number(), next, same);
+                    export();
+                } catch (IOException x) {
+                    failed(x);
+                }
+            });
+        }));
+    }
+
+    // ---- the end ----
+
+    public Counts counts() {
+        return new Counts(entries, clerk.backlog(), clerk.unsettled(), clerk.givenUp(), clerk.heldBack(), outbox.waiting(),
+            outbox.barred());
+    }
+
+    /** Ends in order: what waits is written. */
+    public Future<Void> stop() {
+        stopped = true;
+        client.close();
+        Promise<Void> p = Promise.promise();
+        writer.close().whenComplete((x, e) -> loop.runOnContext(v -> p.complete()));
+        return p.future();
+    }
+
+    /** Ends as a crash does. */
+    public void kill() {
+        stopped = true;
+        writer.kill();
+    }
+}
--- /dev/null
+++ b/src/main/java/trestleline/cli/LedgerCommand.java
@@ -0,0 +1,174 @@
+package trestleline.cli;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+import trestleline.config.ConfigException;
+import trestleline.ledger.Entry;
+import trestleline.ledger.Keys;
+import trestleline.ledger.Reconciliation;
+import trestleline.ledger.Sealed;
+import trestleline.ledger.Totals;
+import trestleline.ledger.store.MvStoreLedger;
+
+@Command(name = "ledger", mixinStandardHelpOptions = true, description = "Reads, checks, exports, corrects and reconciles "
+    + "ledgers. A ledger that a gateway has open is locked: use its exports, or a copy.")
+final class LedgerCommand implements Runnable {
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public void run() {
+        throw new CommandLine.ParameterException(spec.commandLine(), "a sub-command is needed");
+    }
+
+    private PrintWriter out() {
+        return spec.commandLine().getOut();
+    }
+
+    private static Keys keys(Path file) throws IOException {
+        try {
+            return Keys.read(Files.readString(file));
+        } catch (IllegalArgumentException e) {
+            throw new ConfigException(file.toString(), List.of(e.getMessage()));
+        }
+    }
+
+    private static List<String> lines(Path file) throws IOException {
+        if (!Files.isRegularFile(file)) throw new ConfigException(file.toString(), List.of("is no file"));
+        List<String> all = new ArrayList<>();
+        try (var store = new MvStoreLedger(file)) {
+            store.scan(all::add);
+        }
+        return all;
+    }
+
+    private static Entry entry(String line) {
+        return Entry.decode(Sealed.parse(line).text());
+    }
+
+    @Command(name = "show", mixinStandardHelpOptions = true, description = "Prints entries, one a line.")
+    int show(@Parameters(paramLabel = "LEDGER") Path file, @Option(names = "--json") boolean json,
+             @Option(names = "--attempt", paramLabel = "ID", description = "only those about one attempt") String attempt)
+        throws IOException {
+        if (!json) out().println("place kind period amount tenant class attempt corrects note");
+        for (String line : lines(file)) {
+            Entry e = entry(line);
+            if (attempt != null && !attempt.equals(e.attempt())) continue;
+            out().println(json ? Sealed.parse(line).text() : String.format(Locale.ROOT, "%s %s %d %d %s %s %s %s %s", e.place(),
+                e.kind(), e.period(), e.amount(), dash(e.tenant()), dash(e.service()), dash(e.attempt()), dash(e.corrects()),
+                e.note()));
+        }
+        return 0;
+    }
+
+    private static String dash(String s) {
+        return s.isEmpty() ? "-" : s;
+    }
+
+    @Command(name = "verify", mixinStandardHelpOptions = true,
+        description = "Checks every seal; names what was cut, changed, swapped or removed. Exit 1 when anything was.")
+    int verify(@Parameters(paramLabel = "LEDGER") Path file, @Option(names = "--keys", required = true) Path keys)
+        throws IOException {
+        List<String> lines = lines(file);
+        List<Sealed.Fault> faults = Sealed.verify(keys(keys), lines);
+        for (Sealed.Fault f : faults) out().println(f.place() + ": " + f.what());
+        out().println(lines.size() + " entries, " + faults.size() + " faults");
+        return faults.isEmpty() ? 0 : 1;
+    }
+
+    @Command(name = "export", mixinStandardHelpOptions = true, description = "Writes all sealed lines to a file.")
+    int export(@Parameters(paramLabel = "LEDGER") Path file, @Parameters(paramLabel = "FILE") Path to) throws IOException {
+        List<String> lines = lines(file);
+        Files.write(to, lines);
+        out().println(lines.size() + " entries written to " + to);
+        return 0;
+    }
+
+    @Command(name = "periods", mixinStandardHelpOptions = true, description = "Paid starts by period, tenant and class.")
+    int periods(@Parameters(paramLabel = "LEDGER") Path file, @Option(names = "--json") boolean json) throws IOException {
+        Map<Long, Totals> byPeriod = new java.util.TreeMap<>();
+        Map<Long, String> closed = new LinkedHashMap<>();
+        for (String line : lines(file)) {
+            Entry e = entry(line);
+            if (e.kind() == Entry.Kind.CLOSE) closed.put(e.period(), e.place());
+            else byPeriod.computeIfAbsent(e.period(), p -> new Totals()).take(e);
+        }
+        ArrayNode all = new ObjectMapper().createArrayNode();
+        byPeriod.forEach((p, t) -> {
+            if (json) all.addObject().put("period", p).put("closedAt", closed.get(p)).putPOJO("starts", t.byTenantAndClass());
+            else out().println(p + " " + (closed.containsKey(p) ? "closed " + closed.get(p) : "open") + " " + t.byTenantAndClass());
+        });
+        if (json) out().println(all);
+        return 0;
+    }
+
+    @Command(name = "correct", mixinStandardHelpOptions = true, description = "Adds a correction that names an entry. The "
+        + "gateway must not be running: its ledger is locked while it is.")
+    int correct(@Parameters(paramLabel = "LEDGER") Path file, @Option(names = "--keys", required = true) Path keys,
+                @Option(names = "--entry", required = true, paramLabel = "GENERATION:SEQ") String place,
+                @Option(names = "--amount", required = true, description = "1 or -1") int amount,
+                @Option(names = "--reason", required = true) String reason) throws IOException {
+        Keys k = keys(keys);
+        if (Math.abs(amount) != 1) throw new ConfigException("--amount", List.of("is " + amount + "; expected 1 or -1"));
+        List<String> lines = lines(file);
+        Entry of = lines.stream().map(LedgerCommand::entry).filter(e -> e.place().equals(place)).findFirst()
+            .orElseThrow(() -> new ConfigException(file.toString(), List.of("has no entry " + place)));
+        if (of.attempt().isEmpty()) throw new ConfigException(file.toString(), List.of(place + " is about no attempt"));
+        Entry last = entry(lines.get(lines.size() - 1));
+        long closed = lines.stream().map(LedgerCommand::entry).filter(e -> e.kind() == Entry.Kind.CLOSE)
+            .mapToLong(Entry::period).max().orElse(of.period() - 1);
+        String generation = "hand" + Long.toString(System.currentTimeMillis(), 36);
+        long now = System.currentTimeMillis();
+        var start = new Entry(of.gateway(), generation, 0, Entry.Kind.START, "", "", "", "", 0, 0, "", of.period(), now, 0,
+            last.place() + ":" + Sealed.parse(lines.get(lines.size() - 1)).mac());
+        Sealed first = Sealed.seal(k, Sealed.NONE, start);
+        var correction = new Entry(of.gateway(), generation, 1, Entry.Kind.CORRECTION, of.attempt(), place, of.tenant(),
+            of.service(), of.title(), of.viewer(), of.host(), Math.max(of.period(), closed + 1), of.eventAt(), amount,
+            "by hand: " + reason);
+        try (var store = new MvStoreLedger(file)) {
+            store.append(List.of(first.line(), Sealed.seal(k, first.mac(), correction).line()));
+        }
+        out().println("added " + correction.place());
+        return 0;
+    }
+
+    @Command(name = "reconcile", mixinStandardHelpOptions = true, description = "Sets exported ledgers against each other; "
+        + "names gaps, forks, doubles and stale copies. Exit 1 when there are any.")
+    int reconcile(@Parameters(paramLabel = "FILES", arity = "1..*") List<Path> files,
+                  @Option(names = "--keys", required = true) Path keys, @Option(names = "--json") boolean json) throws IOException {
+        Map<String, List<String>> all = new LinkedHashMap<>();
+        for (Path f : files) {
+            if (!Files.isRegularFile(f)) throw new ConfigException(f.toString(), List.of("is no file"));
+            all.put(f.toString(), Files.readAllLines(f));
+        }
+        Reconciliation.Result r = Reconciliation.of(keys(keys), all);
+        if (json) {
+            ObjectNode n = new ObjectMapper().createObjectNode().put("entries", r.entries());
+            n.putPOJO("starts", r.totals().byTenantAndClass());
+            ArrayNode found = n.putArray("findings");
+            for (var f : r.findings()) found.addObject().put("kind", f.kind()).put("place", f.place()).put("what", f.what());
+            out().println(n.toPrettyString());
+        } else {
+            for (var f : r.findings()) out().println(f.kind() + " " + f.place() + ": " + f.what());
+            out().println(r.entries() + " entries, paid starts " + r.totals().byTenantAndClass() + ", " + r.findings().size()
+                + " findings");
+        }
+        return r.findings().isEmpty() ? 0 : 1;
+    }
+}
--- a/src/main/java/trestleline/cli/Main.java
+++ b/src/main/java/trestleline/cli/Main.java
@@ -9,7 +9,7 @@
 /** The command line. Exit codes: 0 done, 1 the work went wrong or a rule broke, 2 wrong use or settings. */
 @Command(name = "trestleline", mixinStandardHelpOptions = true, version = "trestleline 0.2.0",
     description = "A session front: places video sessions on media hosts and shapes them there.",
-    subcommands = {Serve.class, Standin.class, Rehearse.class, Check.class, Measure.class, Drill.class})
+    subcommands = {Serve.class, Standin.class, Rehearse.class, Check.class, Measure.class, LedgerCommand.class, Drill.class})
 public final class Main implements Runnable {
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
--- a/src/main/java/trestleline/config/GatewayConfig.java
+++ b/src/main/java/trestleline/config/GatewayConfig.java
@@ -16,7 +16,7 @@
  *
  */
 public record GatewayConfig(Front.Settings settings, Listen listen, Source list, Media media, Limits limits,
-                            Map<String, Title> titles, String handover) {
+                            Map<String, Title> titles, String handover, Ledger ledger) {
     private static final String NAME = "[A-Za-z0-9][A-Za-z0-9_-]{0,63}", NAMED = "a name of letters, digits, - and _";
     private static final double INF = Double.POSITIVE_INFINITY;
 
@@ -29,6 +29,18 @@
     /** Media: segment length in seconds, and how long the gateway waits on a host that sends none. */
     public record Media(double segmentS, double silentMs) { }
 
+    /**
+     * The billing ledger: its file and the file of its keys, both empty for none; {@code desk} where it is exported to, empty
+     * for nowhere.
+     */
+    public record Ledger(String file, String keys, String desk, double periodS, double latenessS, int backlog, double slowMs,
+                         double askFromMs, double askToMs, double askForMs, int open, int batch, double backoffFrom,
+                         double backoffTo, int budget, double windowMs) {
+        public boolean kept() {
+            return !file.isEmpty();
+        }
+    }
+
     /** Bounds on what viewers may use up. */
     public record Limits(int connections, int open, double headMs, double idleMs, double marginMs, double bufferMs,
                          int headBytes) { }
@@ -64,7 +76,18 @@
             if (titles.put(t.name(), t) != null) r.error("titles", "two are named '" + t.name() + "'");
         }
         String handover = r.text("handover", ".+", "a file", "");
-        return new GatewayConfig(settings, listen, list, media, limits, titles, handover);
+        return new GatewayConfig(settings, listen, list, media, limits, titles, handover, ledger(r.object("ledger")));
+    }
+
+    private static Ledger ledger(Reader l) {
+        String file = l.text("file", ".+", "a file", ""), keys = l.text("keys", ".+", "a file", "");
+        if (file.isEmpty() != keys.isEmpty()) l.error(file.isEmpty() ? "file" : "keys", "is missing; file and keys go together");
+        return new Ledger(file, keys, l.text("desk", "http://(127\\.0\\.0\\.1|localhost):\\d{1,5}",
+            "an address like http://127.0.0.1:9100", ""), l.num("periodS", 0.1, INF, 3600), l.num("latenessS", 0, INF, 60),
+            l.whole("backlog", 1, 1_000_000, 1000), l.num("slowMs", 1, INF, 500), l.num("askFromMs", 1, INF, 200),
+            l.num("askToMs", 1, INF, 10_000), l.num("askForMs", 1, INF, 600_000), l.whole("open", 1, 1_000_000, 5000),
+            l.whole("batch", 1, 100_000, 500), l.num("backoffFrom", 1, INF, 100), l.num("backoffTo", 1, INF, 10_000),
+            l.whole("budget", 1, 1_000_000, 600), l.num("windowMs", 1, INF, 60_000));
     }
 
     /** An address on the loopback interface: nothing here serves beyond this machine. */
--- a/src/main/java/trestleline/core/Gateway.java
+++ b/src/main/java/trestleline/core/Gateway.java
@@ -26,6 +26,7 @@
     private final Timers timers;
     private final Hosts hosts;
     private final Directory directory;
+    private final Books books;
     private final String idPrefix;
     private final double margin;
     private final Intake intake;
@@ -62,12 +63,13 @@
      * @param marginMs taken off each deadline, so that the answer has reached the viewer by then
      */
     public Gateway(Front.Settings settings, long seed, String generation, double marginMs, DoubleSupplier clock,
-                   Timers timers, Hosts hosts, Directory directory) {
+                   Timers timers, Hosts hosts, Directory directory, Books books) {
         this.settings = settings;
         this.clock = clock;
         this.timers = timers;
         this.hosts = hosts;
         this.directory = directory;
+        this.books = books;
         this.margin = marginMs;
         idPrefix = settings.me() + "-" + generation + "-";
         intake = new Intake(clock);
@@ -280,6 +282,7 @@
         e.attempt = attempt;
         e.sentAt = now;
         attempts++;
+        if (paid(attempt)) books.intend(attempt);
         timers.after(until - now, () -> intake.add(Intake.Kind.REST, () -> {
             if (e.attempt != attempt) return;
             e.flight.abandon();
@@ -310,9 +313,15 @@
     private Hosts.Go mayWrite(Entry e, Attempt attempt) {
         boolean wanted = !stopped && e.attempt == attempt && e.viewer != null;
         if (wanted && intake.lag() > 0) return Hosts.Go.WAIT;
-        if (wanted && clock.getAsDouble() < attempt.expireAt() && roster.takesNew(attempt.host())) return Hosts.Go.WRITE;
-        dropped++;
-        return Hosts.Go.DROP;
+        wanted &= clock.getAsDouble() < attempt.expireAt() && roster.takesNew(attempt.host());
+        Hosts.Go go = !wanted ? Hosts.Go.DROP : paid(attempt) ? books.mayWrite(attempt) : Hosts.Go.WRITE;
+        if (go == Hosts.Go.DROP) dropped++;
+        if (go == Hosts.Go.WRITE && paid(attempt)) books.written(attempt);
+        return go;
+    }
+
+    private static boolean paid(Attempt a) {
+        return a.terms().effect() == Front.Effect.SIDE_EFFECT;
     }
 
     private void started(Entry e, Attempt attempt, Map<String, Double> report) {
@@ -326,6 +335,7 @@
             return;
         }
         e.attempt = null;
+        if (paid(attempt)) books.over(attempt, Outcome.OK);
         e.session = new Session(attempt, e.rung, clock.getAsDouble());
         playing++;
         feed(new Front.HeadReceived(e.ask.req(), attempt.shot(), attempt.host(), clock.getAsDouble() - e.sentAt));
@@ -340,6 +350,7 @@
         if (e.attempt != attempt) return;
         e.attempt = null;
         e.flight = null;
+        if (paid(attempt)) books.over(attempt, outcome);
         boolean concluded = e.viewer == null;
         if (concluded) entries.remove(e.ask.req());
         feed(new Front.Result(e.ask.req(), attempt.shot(), attempt.host(), clock.getAsDouble() - e.sentAt, concluded,
--- a/src/main/java/trestleline/daemon/GatewayNode.java
+++ b/src/main/java/trestleline/daemon/GatewayNode.java
@@ -5,12 +5,15 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import java.io.IOException;
 import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.util.List;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import trestleline.billing.LedgerKeeper;
 import trestleline.config.GatewayConfig;
+import trestleline.core.Books;
 import trestleline.core.Counts;
 import trestleline.core.Gateway;
 import trestleline.core.Timers;
@@ -29,6 +32,7 @@
     private Gateway gateway;
     private HttpFront front;
     private ListClient list;
+    private LedgerKeeper ledger;
 
     public GatewayNode(GatewayConfig config) {
         this.config = config;
@@ -49,8 +53,18 @@
             Timers timers = (ms, task) -> vertx.setTimer(Math.max(1, (long) Math.ceil(ms)), t -> task.run());
             var hosts = new HostClient(vertx, config.settings(), config.media().silentMs(), clock);
             list = new ListClient(vertx, config, hosts, u -> gateway.update(u), random.nextLong());
+            Books books = Books.NONE;
+            if (config.ledger().kept()) {
+                try {
+                    ledger = Ledgers.open(vertx, config, generation, hosts, clock, random.nextLong());
+                } catch (IOException | IllegalArgumentException e) {
+                    port.fail(e);
+                    return;
+                }
+                books = ledger;
+            }
             gateway = new Gateway(config.settings(), seed, generation, config.limits().marginMs(), clock, timers, hosts,
-                list);
+                list, books);
             hosts.attach(gateway);
             front = new HttpFront(vertx, config, gateway, hosts, clock);
             record Left(Listed.Line list, List<HttpFront.HandedOver> open) { }
@@ -59,7 +73,7 @@
                 int resumed = 0;
                 for (HttpFront.HandedOver h : left.open()) if (front.resume(h)) resumed++;
                 if (resumed > 0) LOG.atInfo().addKeyValue("sessions", resumed).log("taken over");
-                return front.start();
+                return (ledger == null ? Future.<Void>succeededFuture() : ledger.start()).compose(x -> front.start());
             }).onComplete(port);
         });
         return port.future().onSuccess(p -> LOG.atInfo().addKeyValue("gateway", config.settings().me())
@@ -79,6 +93,11 @@
     public Future<Void> stop() {
         Promise<Void> done = Promise.promise();
         loop.runOnContext(v -> {
+            if (front == null) { // it never started
+                if (gateway != null) gateway.halt();
+                new Thread(() -> vertx.close().onComplete(done)).start();
+                return;
+            }
             front.drain();
             List<HttpFront.HandedOver> open = handoverFile() == null ? List.of() : front.handOver();
             vertx.executeBlocking(() -> Handover.leave(handoverFile(), open)).onComplete(written -> {
@@ -87,7 +106,8 @@
                 if (open.isEmpty() || written.failed()) gateway.stop();
                 else gateway.leaveOpen();
                 // closed from outside: the loop that closes itself can tell nobody that it is done
-                front.stop().onComplete(x -> new Thread(() -> vertx.close().onComplete(done)).start());
+                Future<Void> books = ledger == null ? Future.succeededFuture() : ledger.stop();
+                books.eventually(() -> front.stop()).onComplete(x -> new Thread(() -> vertx.close().onComplete(done)).start());
             });
         });
         return done.future();
@@ -97,6 +117,7 @@
     public Future<Void> kill() {
         loop.runOnContext(v -> {
             if (gateway != null) gateway.halt();
+            if (ledger != null) ledger.kill();
         });
         return vertx.close();
     }
@@ -122,6 +143,13 @@
         return p.future();
     }
 
+    /** The ledger's counters, read on the loop; null without a ledger. */
+    public Future<LedgerKeeper.Counts> ledger() {
+        Promise<LedgerKeeper.Counts> p = Promise.promise();
+        loop.runOnContext(v -> p.complete(ledger == null ? null : ledger.counts()));
+        return p.future();
+    }
+
     /** Requests and sessions that the front holds, read on the loop. */
     public Future<Integer> held() {
         Promise<Integer> p = Promise.promise();
--- a/src/main/java/trestleline/hosts/HostClient.java
+++ b/src/main/java/trestleline/hosts/HostClient.java
@@ -262,6 +262,57 @@
             });
     }
 
+    // ---- receipts ----
+
+    /** What a host says of a paid set-up that ran there; {@code at} ms since the epoch. */
+    public record Receipt(String attempt, String tenant, String service, long title, long viewer, double at) { }
+
+    /** Hosts with an address. */
+    public Set<String> known() {
+        return Set.copyOf(links.keySet());
+    }
+
+    /**
+     * Asks a host whether an attempt ran there. One that does not know it says no, and never runs it from then on. Fails
+     * when the host gives no clear answer.
+     */
+    public Future<Boolean> receipt(String host, String attempt) {
+        return get(host, "/receipts/" + attempt).compose(text -> switch (text.trim()) {
+            case "ran" -> Future.succeededFuture(true);
+            case "never" -> Future.succeededFuture(false);
+            default -> Future.failedFuture("no clear receipt");
+        });
+    }
+
+    /** All set-ups of a gateway that ran at a host after a time. */
+    public Future<java.util.List<Receipt>> receipts(String host, String gatewayName, double after) {
+        return get(host, "/receipts?gateway=" + gatewayName + "&after=" + (long) after).map(text -> {
+            java.util.List<Receipt> all = new java.util.ArrayList<>();
+            for (String line : text.split("\n")) {
+                String[] f = line.split(" ");
+                if (f.length == 6) {
+                    all.add(new Receipt(f[0], f[1], f[2], Long.parseLong(f[3]), Long.parseLong(f[4]), Double.parseDouble(f[5])));
+                }
+            }
+            return all;
+        });
+    }
+
+    private Future<String> get(String host, String uri) {
+        Link link = links.get(host);
+        if (link == null) return Future.failedFuture("no address for " + host);
+        Promise<String> p = Promise.promise();
+        long timer = vertx.setTimer((long) (8 * rules.connectTimeout()), t -> p.tryFail("no answer in time"));
+        client(link).request(to(link, HttpMethod.GET, uri)).compose(HttpClientRequest::send)
+            .compose(r -> r.statusCode() == 200 ? r.body() : Future.failedFuture("status " + r.statusCode()))
+            .onComplete(got -> {
+                vertx.cancelTimer(timer);
+                if (got.succeeded()) p.tryComplete(got.result().toString());
+                else p.tryFail(got.cause());
+            });
+        return p.future();
+    }
+
     /** Requests under way on the old connections end there; the next one connects anew. */
     @Override
     public void hangUp(String host) {
--- /dev/null
+++ b/src/main/java/trestleline/ledger/Reconciliation.java
@@ -0,0 +1,86 @@
+package trestleline.ledger;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Several exported ledgers against each other, and nothing else: what is missing, told twice, or told in two ways. Free of
+ * I/O.
+ */
+public final class Reconciliation {
+    /** What was found. {@code kind}: {@code gap}, {@code fork}, {@code double}, {@code stale}, {@code fault}. */
+    public record Finding(String kind, String place, String what) { }
+
+    /** All findings, and what the ledgers together come to. */
+    public record Result(List<Finding> findings, Totals totals, int entries) { }
+
+    private Reconciliation() { }
+
+    /** @param files lines of each exported ledger by its name, in its order */
+    public static Result of(Keys keys, Map<String, List<String>> files) {
+        List<Finding> findings = new ArrayList<>();
+        Map<String, TreeMap<Long, Sealed>> chains = new TreeMap<>();
+        Map<String, Map<String, Long>> reach = new TreeMap<>();
+        files.forEach((name, lines) -> {
+            for (Sealed.Fault f : Sealed.verify(keys, lines)) {
+                boolean gap = f.what().startsWith("missing");
+                findings.add(new Finding(gap ? "gap" : "fault", name + " " + f.place(), f.what()));
+            }
+            for (String line : lines) {
+                Sealed s;
+                Entry e;
+                try {
+                    s = Sealed.parse(line);
+                    e = Entry.decode(s.text());
+                } catch (IllegalArgumentException x) {
+                    continue; // told as a fault above
+                }
+                String chain = e.gateway() + "/" + e.generation();
+                reach.computeIfAbsent(chain, c -> new TreeMap<>()).merge(name, e.seq() + 1, Math::max);
+                Sealed was = chains.computeIfAbsent(chain, c -> new TreeMap<>()).putIfAbsent(e.seq(), s);
+                if (was != null && !was.mac().equals(s.mac())) {
+                    findings.add(new Finding("fork", name + " " + chain + ":" + e.seq(), "two histories under one generation"));
+                }
+            }
+        });
+        reach.forEach((chain, byFile) -> {
+            long most = byFile.values().stream().mapToLong(n -> n).max().orElse(0);
+            byFile.forEach((name, n) -> {
+                if (n < most) findings.add(new Finding("stale", name + " " + chain, "holds " + n + " entries of " + most));
+            });
+        });
+        var totals = new Totals();
+        int entries = 0;
+        for (Map.Entry<String, TreeMap<Long, Sealed>> c : chains.entrySet()) {
+            for (Sealed s : c.getValue().values()) {
+                Entry e = Entry.decode(s.text());
+                entries++;
+                totals.take(e);
+                if (e.kind() == Entry.Kind.START) follows(c.getKey(), e, chains, findings);
+            }
+        }
+        for (String d : totals.doubles()) findings.add(new Finding("double", d, "an attempt already counted; counts once"));
+        return new Result(findings, totals, entries);
+    }
+
+    /** A generation that follows another in its middle was started from an old copy. */
+    private static void follows(String chain, Entry start, Map<String, TreeMap<Long, Sealed>> chains, List<Finding> findings) {
+        String[] part = start.note().split(":");
+        if (part.length != 3) return;
+        TreeMap<Long, Sealed> before = chains.get(start.gateway() + "/" + part[0]);
+        long seq = Long.parseLong(part[1]);
+        if (before == null || before.lastKey() < seq) {
+            findings.add(new Finding("gap", start.gateway() + "/" + part[0], chain + " follows its entry " + seq
+                + ", which no ledger here holds"));
+        } else if (before.lastKey() > seq) {
+            findings.add(new Finding("stale", chain, "was started from a copy of " + part[0] + " that ended at " + seq
+                + ", which went on to " + before.lastKey()));
+        }
+        Sealed at = before == null ? null : before.get(seq);
+        if (at != null && !at.mac().equals(part[2])) {
+            findings.add(new Finding("fork", chain, "follows another history of " + part[0] + " than is held here"));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/trestleline/ledger/Totals.java
@@ -0,0 +1,45 @@
+package trestleline.ledger;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Paid starts by tenant, from entries: each attempt counts once, whoever tells of it and how often. */
+public final class Totals {
+    private final Map<String, Entry> counted = new HashMap<>();
+    private final List<String> doubles = new ArrayList<>();
+
+    /** Takes one entry; the order within a generation matters, that of generations does not. */
+    public void take(Entry e) {
+        if (e.amount() > 0 && counted.putIfAbsent(e.attempt(), e) != null) doubles.add(e.place() + " " + e.attempt());
+        if (e.amount() < 0) counted.remove(e.attempt());
+    }
+
+    /** By tenant. */
+    public Map<String, Long> byTenant() {
+        return by(false);
+    }
+
+    /** By {@code TENANT/CLASS}. */
+    public Map<String, Long> byTenantAndClass() {
+        return by(true);
+    }
+
+    private Map<String, Long> by(boolean service) {
+        Map<String, Long> all = new TreeMap<>();
+        counted.values().forEach(e -> all.merge(service ? e.tenant() + "/" + e.service() : e.tenant(), 1L, Long::sum));
+        return all;
+    }
+
+    /** Attempts that count. */
+    public java.util.Set<String> attempts() {
+        return counted.keySet();
+    }
+
+    /** Places that told of an attempt already counted. */
+    public List<String> doubles() {
+        return doubles;
+    }
+}
--- /dev/null
+++ b/src/main/java/trestleline/ledger/store/MvStoreLedger.java
@@ -0,0 +1,115 @@
+package trestleline.ledger.store;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.h2.mvstore.MVMap;
+import org.h2.mvstore.MVStore;
+import org.h2.mvstore.MVStoreException;
+import trestleline.ledger.Entry;
+import trestleline.ledger.Sealed;
+
+/**
+ * Lines in an H2 MVStore: a log-structured store in one file, each chunk checksummed, that goes back to its last whole
+ * version after a crash. Keys are positions; a commit and a sync end each group. A line that is there already - the same
+ * group stored again after a failure - is left as it is.
+ */
+public final class MvStoreLedger implements Store {
+    private final MVStore store;
+    private final MVMap<Long, String> lines;
+    private final Map<String, List<long[]>> places = new LinkedHashMap<>();
+    private final Map<String, Long> next = new LinkedHashMap<>();
+    private long end;
+
+    /** Opens or makes the file; throws {@code IOException} when it is in use or can't be read. */
+    public MvStoreLedger(Path file) throws IOException {
+        Path parent = file.toAbsolutePath().getParent();
+        if (parent != null) Files.createDirectories(parent);
+        try {
+            store = new MVStore.Builder().fileName(file.toString()).autoCommitDisabled().cacheSize(8).open();
+            store.setVersionsToKeep(0);
+            lines = store.openMap("lines");
+        } catch (MVStoreException e) {
+            throw new IOException(file + ": " + e.getMessage(), e);
+        }
+        for (var c = lines.cursor(null); c.hasNext();) {
+            long at = c.next();
+            index(at, Entry.decode(Sealed.parse(c.getValue()).text()));
+        }
+    }
+
+    /** Runs of consecutive sequences at consecutive positions: {position, sequence, count}. */
+    private void index(long at, Entry e) {
+        List<long[]> runs = places.computeIfAbsent(e.generation(), g -> new ArrayList<>());
+        long[] last = runs.isEmpty() ? null : runs.get(runs.size() - 1);
+        if (last != null && last[0] + last[2] == at && last[1] + last[2] == e.seq()) last[2]++;
+        else runs.add(new long[] {at, e.seq(), 1});
+        next.merge(e.generation(), e.seq() + 1, Math::max);
+        end = Math.max(end, at + 1);
+    }
+
+    @Override
+    public void append(List<String> group) throws IOException {
+        try {
+            for (String line : group) {
+                Entry e = Entry.decode(Sealed.parse(line).text());
+                if (e.seq() < next.getOrDefault(e.generation(), 0L)) continue;
+                lines.put(end, line);
+                index(end, e);
+            }
+            store.commit();
+            store.sync();
+        } catch (MVStoreException e) {
+            throw new IOException(e.getMessage(), e);
+        }
+    }
+
+    @Override
+    public long size() {
+        return lines.sizeAsLong();
+    }
+
+    @Override
+    public void scan(Consumer<String> line) {
+        for (var c = lines.cursor(null); c.hasNext();) {
+            c.next();
+            line.accept(c.getValue());
+        }
+    }
+
+    @Override
+    public List<String> range(String generation, long from, long to) {
+        List<String> all = new ArrayList<>();
+        for (long[] run : places.getOrDefault(generation, List.of())) {
+            for (long seq = Math.max(from, run[1]); seq < Math.min(to, run[1] + run[2]); seq++) {
+                all.add(lines.get(run[0] + seq - run[1]));
+            }
+        }
+        return all;
+    }
+
+    @Override
+    public long next(String generation) {
+        return next.getOrDefault(generation, 0L);
+    }
+
+    @Override
+    public List<String> generations() {
+        return List.copyOf(places.keySet());
+    }
+
+    @Override
+    public void abandon() {
+        store.closeImmediately();
+    }
+
+    @Override
+    public void close() {
+        store.close();
+    }
+}
--- a/src/main/java/trestleline/rehearsal/Day.java
+++ b/src/main/java/trestleline/rehearsal/Day.java
@@ -15,14 +15,16 @@
  * where a name ends in {@code S} or says so, else ms.
  */
 public record Day(String name, double seconds, long seed, int gateways, List<HostSpec> hosts, double uplinkKb,
-                  Physical physics, Arrivals arrivals, ListLag list, List<Trouble> troubles, GatewayConfig template,
-                  Reader source) {
+                  Physical physics, Arrivals arrivals, ListLag list, List<Trouble> troubles, boolean ledger,
+                  GatewayConfig template, Reader source) {
     private static final double INF = Double.POSITIVE_INFINITY;
 
     /** The names of troubles, as in the users' list of them. */
     public static final List<String> TROUBLES = List.of("balancer_crash", "balancer_stall", "burst", "crash",
         "discovery_stale", "fast_errors", "hang", "neighbour", "origin_slow", "preempt", "shared_slow", "tenant_burst",
         "vanish", "zone_loss");
+    /** Troubles of the ledger: billing that errs, and a gateway whose ledger comes back as an old copy. */
+    public static final List<String> LEDGER_TROUBLES = List.of("desk_faults", "stale_return");
 
     /** So many hosts of a kind, in zones in turn. */
     public record HostSpec(int count, String kind, double linkKb) { }
@@ -53,7 +55,7 @@
     private static Day read(Reader r) {
         int gateways = r.whole("gateways", 1, 200);
         GatewayConfig template = GatewayConfig.read(r.objectWith("gateway", over(0, gateways, 0,
-            "http://127.0.0.1:1/hosts", "", "")));
+            "http://127.0.0.1:1/hosts", "", Map.of())));
         Front.Settings settings = template.settings();
         List<HostSpec> hosts = r.objects("hosts", 1, h -> new HostSpec(h.whole("count", 1, 2000),
             h.oneOf("kind", settings.fleet().kinds().isEmpty() ? List.of("?") : settings.fleet().kinds(), null),
@@ -74,7 +76,8 @@
         List<Trouble> troubles = new ArrayList<>(r.objects("troubles", 0, t -> {
             double at = t.num("at", 0, INF);
             if (at > seconds) t.error("at", "is " + at + "; expected a time within the day of " + seconds + " seconds");
-            return new Trouble(t.oneOf("name", TROUBLES, null), at, t.num("seconds", 0, INF, 5), t.num("part", 0, 1, 0.2),
+            return new Trouble(t.oneOf("name", java.util.stream.Stream.concat(TROUBLES.stream(),
+                LEDGER_TROUBLES.stream()).toList(), null), at, t.num("seconds", 0, INF, 5), t.num("part", 0, 1, 0.2),
                 t.num("size", 0, INF, 1), t.num("everyS", 0.1, INF, 5));
         }));
         int slots = hosts.stream().mapToInt(HostSpec::count).sum();
@@ -82,7 +85,7 @@
             r.error("hosts", "are " + slots + "; expected at most gateway.fleet.places, " + settings.fleet().places());
         }
         Day day = new Day(r.text("name", ".{1,80}", "a name"), seconds, (long) r.num("seed", 0, 9e15, 1), gateways, hosts,
-            r.num("uplinkKb", 0.1, INF, settings.fleet().rackLinkKb()), physics, arrivals, lag, troubles, template, r);
+            r.num("uplinkKb", 0.1, INF, settings.fleet().rackLinkKb()), physics, arrivals, lag, troubles, r.flag("ledger", false), template, r);
         r.finish();
         return day;
     }
@@ -93,24 +96,29 @@
         return all;
     }
 
-    private static Map<String, Object> over(int me, int fronts, int port, String url, String saved, String handover) {
+    private static Map<String, Object> over(int me, int fronts, int port, String url, String saved, Map<String, String> ledger) {
         Map<String, Object> all = new LinkedHashMap<>();
         all.put("me", me);
         all.put("fronts", fronts);
         all.put("listen", Map.of("host", "127.0.0.1", "port", port));
         all.put("list", saved.isEmpty() ? Map.of("url", url) : Map.of("url", url, "saved", saved));
-        if (!handover.isEmpty()) all.put("handover", handover);
+        if (!ledger.isEmpty()) all.put("ledger", ledger);
         return all;
     }
 
     /** The settings text of one gateway of this day. */
-    public String gatewayText(int me, int port, String url, String saved) {
-        return source.objectWith("gateway", over(me, gateways, port, url, saved, "")).json();
+    public String gatewayText(int me, int port, String url, String saved, Map<String, String> ledger) {
+        return source.objectWith("gateway", over(me, gateways, port, url, saved, ledger)).json();
     }
 
     /** The settings of one gateway of this day. */
     public GatewayConfig gateway(int me, int port, String url, String saved) {
-        Reader r = Reader.parse(name, gatewayText(me, port, url, saved));
+        return gateway(me, port, url, saved, Map.of());
+    }
+
+    /** The same, with where its ledger lies and is exported to: fields of {@code ledger}. */
+    public GatewayConfig gateway(int me, int port, String url, String saved, Map<String, String> ledger) {
+        Reader r = Reader.parse(name, gatewayText(me, port, url, saved, ledger));
         GatewayConfig c = GatewayConfig.read(r);
         try {
             r.finish();
--- a/src/main/java/trestleline/rehearsal/Mishaps.java
+++ b/src/main/java/trestleline/rehearsal/Mishaps.java
@@ -1,6 +1,10 @@
 package trestleline.rehearsal;
 
 import io.vertx.core.Vertx;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -9,6 +13,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import trestleline.judge.Seen;
+import trestleline.standin.BillingDesk;
 import trestleline.standin.MediaHost;
 import trestleline.standin.Rack;
 import trestleline.standin.Trace;
@@ -23,16 +28,20 @@
     private final Arriving arriving;
     private final Consumer<String> say;
     private final Random random;
+    private final BillingDesk desk;
+    private final Path dir;
     private final boolean[] down;
 
     Mishaps(Vertx vertx, Fleet fleet, List<Runner> gateways, Trace trace, Arriving arriving, Consumer<String> say,
-            long seed) {
+            BillingDesk desk, Path dir, long seed) {
         this.vertx = vertx;
         this.fleet = fleet;
         this.gateways = gateways;
         this.trace = trace;
         this.arriving = arriving;
         this.say = say;
+        this.desk = desk;
+        this.dir = dir;
         random = new Random(seed);
         down = new boolean[gateways.size()];
     }
@@ -75,6 +84,10 @@
                 for (Rack r : fleet.racks()) during(t, on -> r.weaken(on ? t.size() : 1));
             }
             case "discovery_stale" -> during(t, on -> fleet.feed().lag(on ? t.size() : fleet.day().list().lagMs()));
+            case "desk_faults" -> {
+                if (desk != null) during(t, on -> desk.faults(on ? t.size() : 0));
+            }
+            case "stale_return" -> staleReturn(t);
             case "preempt" -> running(t.part()).forEach(h -> preempt(h, t));
             default -> throw new IllegalStateException(t.name());
         }
@@ -135,18 +148,50 @@
         for (int g : up(t.part())) {
             down[g] = true;
             trace.add(new Seen.GatewayDown(now(), Integer.toString(g)));
-            gateways.get(g).kill().onComplete(k -> in(t.seconds(), () -> gateways.get(g).start().onComplete(s ->
-                vertx.runOnContext(v -> {
-                    if (s.failed()) {
-                        say.accept("gateway " + g + " did not come back: " + s.cause());
-                        return;
-                    }
-                    trace.add(new Seen.GatewayUp(now(), Integer.toString(g)));
-                    down[g] = false;
-                }))));
+            gateways.get(g).kill().onComplete(k -> in(t.seconds(), () -> back(g)));
         }
     }
 
+    /** A gateway's ledger is copied while it is down; later it comes back with that copy in place of its own. */
+    private void staleReturn(Day.Trouble t) {
+        for (int g : up(t.part())) {
+            Path file = Rehearsal.ledgerFile(dir, g), copy = dir.resolve("copy-" + g);
+            restart(g, () -> copy(file, copy));
+            in(t.seconds(), () -> restart(g, () -> copy(copy, file)));
+        }
+    }
+
+    private static void copy(Path from, Path to) throws IOException {
+        Files.copy(from, to, StandardCopyOption.REPLACE_EXISTING);
+    }
+
+    private interface Work {
+        void run() throws IOException;
+    }
+
+    private void restart(int g, Work between) {
+        down[g] = true;
+        trace.add(new Seen.GatewayDown(now(), Integer.toString(g)));
+        gateways.get(g).kill().onComplete(k -> in(0.3, () -> vertx.executeBlocking(() -> {
+            between.run();
+            return null;
+        }).onComplete(done -> {
+            if (done.failed()) say.accept("ledger of gateway " + g + " not copied: " + done.cause());
+            back(g);
+        })));
+    }
+
+    private void back(int g) {
+        gateways.get(g).start().onComplete(s -> vertx.runOnContext(v -> {
+            if (s.failed()) {
+                say.accept("gateway " + g + " did not come back: " + s.cause());
+                return;
+            }
+            trace.add(new Seen.GatewayUp(now(), Integer.toString(g)));
+            down[g] = false;
+        }));
+    }
+
     /** Stands still for {@code size} ms, every {@code everyS} seconds, one gateway after another. */
     private void gatewayStall(Day.Trouble t, double left) {
         if (left <= 0) return;
--- a/src/main/java/trestleline/rehearsal/Rehearsal.java
+++ b/src/main/java/trestleline/rehearsal/Rehearsal.java
@@ -1,6 +1,7 @@
 package trestleline.rehearsal;
 
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import java.io.IOException;
@@ -8,6 +9,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -21,6 +23,7 @@
 import trestleline.judge.Judge;
 import trestleline.judge.Seen;
 import trestleline.judge.Verdict;
+import trestleline.standin.BillingDesk;
 import trestleline.standin.MediaHost;
 import trestleline.standin.Trace;
 
@@ -28,6 +31,8 @@
 public final class Rehearsal {
     /** What two peers' views of one gateway may differ by, ms: their loops share a machine with all else. */
     private static final double SLACK = 150;
+    /** How long (s) after the last viewer billing may take to hold all: receipts are asked for ever more seldom. */
+    private static final int LEDGER_WAIT_S = 40;
     private final Day day;
     private final boolean processes;
     private final Consumer<String> say;
@@ -64,11 +69,19 @@
         try {
             Fleet fleet = new Fleet(day, vertx, trace, clock);
             wait(fleet.start(), 30);
+            BillingDesk desk = null;
+            if (day.ledger()) {
+                desk = new BillingDesk(vertx, day.seed() * 31 + 3);
+                wait(desk.start(), 10);
+                Files.writeString(dir.resolve("keys"), "day " + HexFormat.of().toHexDigits(day.seed()).repeat(2) + "\n");
+            }
             for (int g = 0; g < day.gateways(); g++) {
                 String url = fleet.feed().url(Integer.toString(g)), saved = dir.resolve("list-" + g).toString();
                 int me = g;
-                gateways.add(processes ? new ChildProcess(vertx, dir, me, p -> day.gatewayText(me, p, url, saved))
-                    : new InJvm(p -> day.gateway(me, p, url, saved)));
+                Map<String, String> ledger = desk == null ? Map.of() : Map.of("file", ledgerFile(dir, g).toString(), "keys",
+                    dir.resolve("keys").toString(), "desk", desk.url());
+                gateways.add(processes ? new ChildProcess(vertx, dir, me, p -> day.gatewayText(me, p, url, saved, ledger))
+                    : new InJvm(p -> day.gateway(me, p, url, saved, ledger)));
             }
             wait(Future.all(gateways.stream().map(Runner::start).toList()), 120);
             say.accept(String.format(Locale.ROOT, "%s: %d hosts, %d gateways%s, seed %d", day.name(), fleet.hosts().size(),
@@ -76,7 +89,8 @@
             double from = clock.getAsDouble();
             for (int g = 0; g < day.gateways(); g++) trace.add(new Seen.GatewayUp(from, Integer.toString(g)));
             var arriving = new Arriving(vertx, day, gateways, trace, clock, day.seed() * 31 + 1);
-            var mishaps = new Mishaps(vertx, fleet, gateways, trace, arriving, this::saying, day.seed() * 31 + 2);
+            var mishaps = new Mishaps(vertx, fleet, gateways, trace, arriving, this::saying, desk, dir,
+                day.seed() * 31 + 2);
             vertx.runOnContext(v -> {
                 fleet.feed().lag(day.list().lagMs());
                 arriving.start();
@@ -98,7 +112,9 @@
                 saying(String.format(Locale.ROOT, "%3.0f s: %d viewers, %d live", (now - from) / 1000,
                     arriving.tally().viewers, arriving.live()));
             }
-            return report(trace.all(), clock.getAsDouble(), arriving, fleet, (arrivalsEnd - from) / 1000);
+            double over = clock.getAsDouble();
+            LedgerResult ledger = desk == null ? null : ledger(vertx, fleet, desk);
+            return report(trace.all(), over, arriving, fleet, (arrivalsEnd - from) / 1000, ledger);
         } finally {
             for (Runner g : gateways) quietly(g.stop());
             quietly(vertx.close());
@@ -106,18 +122,39 @@
         }
     }
 
+    static Path ledgerFile(Path dir, int gateway) {
+        return dir.resolve("ledger-" + gateway);
+    }
+
+    /** Waits until billing holds what ran at the hosts, for a time at most; tells both, and what differs. */
+    private LedgerResult ledger(Vertx vertx, Fleet fleet, BillingDesk desk) throws InterruptedException, ExecutionException,
+        TimeoutException {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(LEDGER_WAIT_S);
+        while (true) {
+            Promise<LedgerResult> p = Promise.promise();
+            vertx.runOnContext(v -> {
+                desk.faults(0);
+                p.complete(LedgerResult.of(fleet, desk));
+            });
+            LedgerResult r = wait(p.future(), 10);
+            if (r.same() || System.nanoTime() > until) return r;
+            Thread.sleep(100);
+        }
+    }
+
     private void saying(String line) {
         say.accept(line);
     }
 
-    private Report report(List<Seen> seen, double end, Arriving arriving, Fleet fleet, double seconds) {
+    private Report report(List<Seen> seen, double end, Arriving arriving, Fleet fleet, double seconds,
+                          LedgerResult ledger) {
         Verdict v = Judge.verdict(figures(day.template().settings()), seen, end);
         Arriving.Tally t = arriving.tally();
         long setUps = seen.stream().filter(s -> s instanceof Seen.SetUp).count();
         long fallen = fleet.hosts().stream().filter(h -> h.mode() == MediaHost.Mode.FALLEN).count();
         return new Report(day.name(), day.seed(), seconds, t.viewers, t.asked, t.granted, t.refused, t.failed, t.cut, t.left,
             t.segments, t.breaks, t.finished, t.stalledMs, t.answerMs.getValueAtPercentile(50),
-            t.answerMs.getValueAtPercentile(99), t.answerMs.getMaxValue(), setUps, fallen, arriving.live(), v);
+            t.answerMs.getValueAtPercentile(99), t.answerMs.getMaxValue(), setUps, fallen, arriving.live(), v, ledger);
     }
 
     private static <T> T wait(Future<T> f, int seconds) throws InterruptedException, ExecutionException, TimeoutException {
--- a/src/main/java/trestleline/rehearsal/Report.java
+++ b/src/main/java/trestleline/rehearsal/Report.java
@@ -10,10 +10,10 @@
 public record Report(String day, long seed, double seconds, long viewers, long asked, long granted, long refused,
                      long failed, long cut, long left, long segments, long breaks, long finished, double stalledMs,
                      long answerP50, long answerP99, long answerMax, long attempts, long hostsFallen, long unended,
-                     Verdict verdict) {
-    /** Whether any rule broke. */
+                     Verdict verdict, LedgerResult ledger) {
+    /** Whether any rule broke, or the ledger is not what the hosts saw. */
     public boolean broken() {
-        return !verdict.guilty().isEmpty();
+        return !verdict.guilty().isEmpty() || ledger != null && !ledger.same();
     }
 
     /** Lines for a person. */
@@ -29,6 +29,7 @@
                 ? "kept (" + verdict.looked(r) + " occasions)"
                 : "BROKEN " + verdict.broken(r) + " times of " + verdict.looked(r) + "; first " + verdict.witness(r)));
         }
+        if (ledger != null) s.append(ledger.text());
         return s.toString();
     }
 
@@ -46,6 +47,10 @@
             rules.putObject(Integer.toString(r)).put("name", Verdict.RULES.get(r - 1)).put("broken", verdict.broken(r))
                 .put("occasions", verdict.looked(r)).put("witness", verdict.witness(r));
         }
+        if (ledger != null) {
+            n.putObject("ledger").put("difference", ledger.difference()).put("deskCounts", ledger.desk())
+                .putPOJO("exported", ledger.exported()).putPOJO("seen", ledger.seen());
+        }
         return n.toPrettyString();
     }
 }
--- a/src/main/java/trestleline/standin/MediaHost.java
+++ b/src/main/java/trestleline/standin/MediaHost.java
@@ -51,6 +51,9 @@
     private final DoubleSupplier clock;
     private final SplittableRandom random;
     private final Map<String, Held> held = new LinkedHashMap<>();
+    /** Durable: what ran here, and what was asked for and will never run. Kept over restarts, for the last hour. */
+    private final Map<String, String> receipts = new LinkedHashMap<>();
+    private final Map<String, Double> ranAt = new LinkedHashMap<>();
     private final Set<HttpConnection> connections = new HashSet<>();
     private final ArrayDeque<Double> recent = new ArrayDeque<>();
     private final Map<String, Buffer> cache = new LinkedHashMap<>(16, 0.75f, true) {
@@ -73,6 +76,8 @@
         final String attempt;
         final Front.Terms terms;
         final long title;
+        String tenant = "";
+        long viewer;
         int rung;
         boolean runs;
         double touched = clock.getAsDouble();
@@ -306,6 +311,10 @@
         }
         HttpServerResponse response = request.response();
         response.exceptionHandler(e -> { });
+        if (request.path().startsWith("/receipts")) {
+            if (mode == Mode.RUNNING) receipts(request, response);
+            return;
+        }
         if (request.path().equals("/status")) {
             if (mode == Mode.RUNNING) response.putHeader(Cmsd.DYNAMIC, told()).end();
             return;
@@ -355,6 +364,11 @@
             down(Mode.FALLEN);
             return;
         }
+        if (receipts.containsKey(attempt)) { // told already that it never runs, or has run
+            over(attempt, Seen.How.ERRED);
+            response.setStatusCode(409).end();
+            return;
+        }
         boolean full = held.size() >= Math.max(1, spec.slots() * warmth());
         double guard = physics.settings().fleet().guard();
         if (mode == Mode.RUNNING && (draining || full || guard > 0 && linkLoad() >= guard)) {
@@ -368,6 +382,8 @@
             return;
         }
         var h = new Held(attempt, terms, title, rung);
+        h.tenant = String.valueOf(request.getParam("tenant"));
+        h.viewer = viewer;
         held.put(attempt, h);
         response.closeHandler(v -> {
             if (!h.runs && held.remove(attempt, h)) over(attempt, Seen.How.CALLED_OFF);
@@ -385,9 +401,48 @@
         h.runs = true;
         h.touched = clock.getAsDouble();
         over(h.attempt, Seen.How.RAN);
+        if (h.terms.effect() == Front.Effect.SIDE_EFFECT) {
+            receipts.put(h.attempt, h.attempt + " " + h.tenant + " " + h.terms.name() + " " + h.title + " " + h.viewer + " "
+                + (long) clock.getAsDouble());
+            ranAt.put(h.attempt, clock.getAsDouble());
+        }
         response.setStatusCode(201).putHeader(Cmsd.DYNAMIC, told()).end();
     }
 
+    /** {@code /receipts/ATTEMPT}: ran or never; {@code /receipts?gateway=&after=}: a line for each that ran. */
+    private void receipts(HttpServerRequest request, HttpServerResponse response) {
+        String path = request.path();
+        if (path.startsWith("/receipts/")) {
+            String attempt = path.substring("/receipts/".length());
+            Held h = held.get(attempt);
+            if (h != null && !h.runs) free(attempt);
+            response.end(receipts.computeIfAbsent(attempt, a -> "").isEmpty() ? "never" : "ran");
+            return;
+        }
+        String gateway = request.getParam("gateway") + "-";
+        double after;
+        try {
+            after = Double.parseDouble(request.getParam("after"));
+        } catch (NumberFormatException | NullPointerException e) {
+            response.setStatusCode(400).end("after: expected a time\n");
+            return;
+        }
+        var text = new StringBuilder();
+        receipts.forEach((attempt, line) -> {
+            if (attempt.startsWith(gateway) && !line.isEmpty() && ranAt.get(attempt) >= after) text.append(line).append('\n');
+        });
+        response.end(text.toString());
+    }
+
+    /** Attempts of paid set-ups that ran here, and whose they were: what a ledger is compared with. */
+    public Map<String, String> ran() {
+        Map<String, String> all = new LinkedHashMap<>();
+        receipts.forEach((attempt, line) -> {
+            if (!line.isEmpty()) all.put(attempt, line.split(" ")[1]);
+        });
+        return all;
+    }
+
     /** A cold host falls when more than a multiple of what it can take is sent to it for a time. */
     private boolean pushedOver(double now) {
         Front.Rules r = physics.settings().rules();
--- a/src/test/java/trestleline/ArchitectureTest.java
+++ b/src/test/java/trestleline/ArchitectureTest.java
@@ -29,6 +29,9 @@
         .layer("standin").definedBy("trestleline.standin")
         .layer("rehearsal").definedBy("trestleline.rehearsal")
         .layer("measure").definedBy("trestleline.measure")
+        .layer("ledger").definedBy("trestleline.ledger")
+        .layer("store").definedBy("trestleline.ledger.store")
+        .layer("billing").definedBy("trestleline.billing")
         .layer("cli").definedBy("trestleline.cli")
         .whereLayer("module").mayNotAccessAnyLayer()
         .whereLayer("hints").mayNotAccessAnyLayer()
@@ -40,11 +43,14 @@
         .whereLayer("hosts").mayOnlyAccessLayers("module", "core", "hints")
         .whereLayer("listing").mayOnlyAccessLayers("module", "core", "config", "hosts")
         .whereLayer("http").mayOnlyAccessLayers("module", "core", "config", "hints", "hosts", "media")
-        .whereLayer("daemon").mayOnlyAccessLayers("module", "core", "config", "hosts", "listing", "http")
-        .whereLayer("standin").mayOnlyAccessLayers("module", "hints", "media", "judge", "listing")
-        .whereLayer("rehearsal").mayOnlyAccessLayers("module", "core", "config", "judge", "standin", "daemon", "listing")
+        .whereLayer("daemon").mayOnlyAccessLayers("module", "core", "config", "hosts", "listing", "http", "billing", "ledger", "store")
+        .whereLayer("standin").mayOnlyAccessLayers("module", "hints", "media", "judge", "listing", "ledger")
+        .whereLayer("rehearsal").mayOnlyAccessLayers("module", "core", "config", "judge", "standin", "daemon", "listing", "ledger")
+        .whereLayer("ledger").mayNotAccessAnyLayer()
+        .whereLayer("store").mayOnlyAccessLayers("ledger")
+        .whereLayer("billing").mayOnlyAccessLayers("core", "hosts", "ledger", "store", "module")
         .whereLayer("measure").mayOnlyAccessLayers("module", "core", "config", "daemon", "listing", "media", "standin")
-        .whereLayer("cli").mayOnlyAccessLayers("measure", "core", "config", "daemon", "standin", "rehearsal", "drill");
+        .whereLayer("cli").mayOnlyAccessLayers("measure", "ledger", "store", "core", "config", "daemon", "standin", "rehearsal", "drill");
 
     /** Whoever takes only the module needs none of the rest. */
     @ArchTest
@@ -53,7 +59,7 @@
 
     @ArchTest
     static final ArchRule coreAndJudgeDoNoIo = noClasses().that().resideInAnyPackage("trestleline.core", "trestleline.judge",
-        "trestleline.hints", "trestleline.media").should().dependOnClassesThat().resideInAnyPackage("io.vertx..",
+        "trestleline.hints", "trestleline.media", "trestleline.ledger").should().dependOnClassesThat().resideInAnyPackage("io.vertx..",
             "io.netty..", "java.nio.file..", "java.util.concurrent..");
 
     @ArchTest
--- /dev/null
+++ b/src/test/java/trestleline/ledger/LedgerTest.java
@@ -0,0 +1,361 @@
+package trestleline.ledger;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+/** What the ledger decides, with no store, no clock and no network. */
+class LedgerTest {
+    private static final Keys KEYS = Keys.read("one " + "0a".repeat(16) + "\ntwo " + "0b".repeat(32));
+    private static final Clerk.Terms TERMS = new Clerk.Terms(1000, 200, 5, 100, 50, 400, 2000, 50);
+
+    private static Clerk.Paid paid(String attempt) {
+        return new Clerk.Paid(attempt, "a", "paid", 7, 9, "h");
+    }
+
+    private static List<String> chain(String gateway, String generation, int n, String follows) {
+        List<String> lines = new ArrayList<>();
+        String head = Sealed.NONE;
+        for (int i = 0; i < n; i++) {
+            Entry e = new Entry(gateway, generation, i, i == 0 ? Entry.Kind.START : Entry.Kind.RAN,
+                i == 0 ? "" : gateway + generation + i, "", "a", "paid", 1, 2, "h", 0, i, i == 0 ? 0 : 1, i == 0 ? follows : "");
+            Sealed s = Sealed.seal(KEYS, head, e);
+            head = s.mac();
+            lines.add(s.line());
+        }
+        return lines;
+    }
+
+    // ---- seals ----
+
+    @Property(tries = 200)
+    void whateverIsDoneToAChainIsFoundAtItsPlace(@ForAll long seed) {
+        var random = new SplittableRandom(seed);
+        List<String> lines = new ArrayList<>(chain("0", "g", 12, ""));
+        assertEquals(List.of(), Sealed.verify(KEYS, lines));
+        int at = random.nextInt(11);
+        String what = switch (random.nextInt(4)) {
+            case 0 -> {
+                lines.remove(at);
+                yield "removed";
+            }
+            case 1 -> {
+                lines.add(at, lines.remove(at + 1));
+                yield "swapped";
+            }
+            case 2 -> {
+                char[] c = lines.get(at).toCharArray();
+                int i = random.nextInt(c.length);
+                c[i] ^= 1 << random.nextInt(6);
+                lines.set(at, new String(c));
+                yield "flipped";
+            }
+            default -> {
+                lines.add(at, lines.get(at));
+                yield "doubled";
+            }
+        };
+        assertFalse(Sealed.verify(KEYS, lines).isEmpty(), what + " at " + at + ", seed " + seed);
+    }
+
+    @Test
+    void aKeyMayChangeWithinAChainAndAnUnknownOneIsNamed() {
+        Keys old = Keys.read("one " + "0a".repeat(16));
+        Entry first = Entry.decode(Sealed.parse(chain("0", "g", 1, "").get(0)).text());
+        Sealed a = Sealed.seal(old, Sealed.NONE, first);
+        Sealed b = Sealed.seal(KEYS, a.mac(), new Entry("0", "g", 1, Entry.Kind.RAN, "x", "", "a", "p", 1, 1, "h", 0, 1, 1, ""));
+        assertEquals(List.of(), Sealed.verify(KEYS, List.of(a.line(), b.line())));
+        assertEquals("sealed by unknown key two", Sealed.verify(old, List.of(a.line(), b.line())).get(0).what());
+        assertThrows(IllegalArgumentException.class, () -> Keys.read("one 00"));
+        assertThrows(IllegalArgumentException.class, () -> Keys.read(""));
+    }
+
+    // ---- the clerk ----
+
+    @Test
+    void noPaidByteGoesOutBeforeItsIntentIsSafe() {
+        var clerk = new Clerk("0", "g", TERMS);
+        clerk.start("", 0);
+        Entry e = clerk.intend(paid("x"), 10);
+        assertEquals(Clerk.Verdict.NOT_YET, clerk.mayWrite("x"));
+        clerk.safe(e.seq() - 1);
+        assertEquals(Clerk.Verdict.NOT_YET, clerk.mayWrite("x"));
+        clerk.safe(e.seq());
+        assertEquals(Clerk.Verdict.GO, clerk.mayWrite("x"));
+        assertEquals(Clerk.Verdict.NO, clerk.mayWrite("never intended"));
+    }
+
+    @Test
+    void paidSetUpsAreHeldBackWhileTheStoreFailsOrIsSlowOrBehind() {
+        var clerk = new Clerk("0", "g", TERMS);
+        clerk.start("", 0);
+        assertNotNull(clerk.intend(paid("x"), 50));
+        assertNull(clerk.intend(paid("y"), 150), "the oldest waits for over 100 ms");
+        clerk.safe(1);
+        assertNotNull(clerk.intend(paid("z"), 160));
+        clerk.failed();
+        assertEquals(Clerk.Verdict.NO, clerk.mayWrite("z"), "not waited for");
+        assertNull(clerk.intend(paid("w"), 170));
+        assertEquals(Entry.Kind.NEVER, clerk.over("z", false, false, 180).kind(), "no byte of it went out");
+        clerk.safe(9);
+        for (int i = 0; i < 5; i++) assertNotNull(clerk.intend(paid("b" + i), 200));
+        assertNull(clerk.intend(paid("b5"), 200), "the backlog is full");
+        assertEquals(3, clerk.heldBack());
+    }
+
+    @Test
+    void whatNobodyCanTellIsAskedForEverMoreSeldomAndGivenUp() {
+        var clerk = new Clerk("0", "g", TERMS);
+        clerk.start("", 0);
+        Entry e = clerk.intend(paid("x"), 0);
+        clerk.safe(e.seq());
+        clerk.written("x");
+        Entry unknown = clerk.over("x", false, false, 100);
+        assertEquals(Entry.Kind.UNKNOWN, unknown.kind());
+        assertEquals(e.place(), unknown.corrects());
+        int asked = 0;
+        for (double t = 100; t < 20_000; t += 10) asked += clerk.ask(t).size();
+        assertTrue(asked >= 5 && asked <= 12, "asked " + asked);
+        assertEquals(1, clerk.givenUp());
+        Entry settled = clerk.receipt("x", true, 20_000);
+        assertEquals(Entry.Kind.CORRECTION, settled.kind());
+        assertEquals(1, settled.amount());
+        assertNull(clerk.receipt("x", true, 20_001), "once");
+    }
+
+    @Test
+    void aPeriodClosesOnceAndWhatComesLaterCountsInTheNext() {
+        var clerk = new Clerk("0", "g", TERMS);
+        clerk.safe(clerk.start("", 0).seq());
+        for (String a : List.of("x", "y")) {
+            Entry e = clerk.intend(paid(a), 900);
+            clerk.safe(e.seq());
+            clerk.written(a);
+        }
+        assertEquals(0, clerk.over("x", true, false, 950).period());
+        clerk.over("y", false, false, 950);
+        assertNull(clerk.close(1300), "y is still asked for");
+        for (double t = 950; t < 9000; t += 10) clerk.ask(t);
+        Entry close = clerk.close(9000);
+        assertEquals("{a/paid=1} unsettled 1", close.note());
+        Entry late = clerk.receipt("y", true, 9100);
+        assertEquals(1, late.period());
+        assertEquals("receipt: ran; late for period 0", late.note());
+        assertEquals("{a/paid=1}", clerk.close(9200).note());
+        assertNull(clerk.close(99_999));
+    }
+
+    @Test
+    void aClockSteppedBackAcrossAPeriodsEndReopensNothing() {
+        var before = new Clerk("0", "g1", TERMS);
+        List<Entry> all = new ArrayList<>(List.of(before.start("", 5000)));
+        all.add(before.intend(paid("x"), 5100));
+        before.safe(1);
+        before.written("x");
+        all.add(before.over("x", true, false, 5200));
+        all.add(before.close(6300));
+        assertEquals(Entry.Kind.CLOSE, all.get(3).kind());
+        var after = new Clerk("0", "g2", TERMS);
+        all.forEach(after::recover);
+        after.start(all.get(3).place(), 4000);
+        Entry e = after.intend(paid("y"), 4100);
+        after.safe(e.seq());
+        after.written("y");
+        assertEquals(6, after.over("y", true, false, 4200).period());
+    }
+
+    @Test
+    void tenThousandLateEntriesAllCountInTheOpenPeriod() {
+        var clerk = new Clerk("0", "g", new Clerk.Terms(1000, 200, 100_000, 1e9, 50, 400, 2000, 100_000));
+        clerk.safe(clerk.start("", 0).seq());
+        for (int i = 0; i < 10_000; i++) {
+            clerk.safe(clerk.intend(paid("x" + i), 100).seq());
+            clerk.written("x" + i);
+            clerk.over("x" + i, false, false, 150);
+        }
+        for (double t = 150; t < 9000; t += 50) clerk.ask(t);
+        assertTrue(clerk.close(9000).note().endsWith("unsettled 10000"));
+        for (int i = 0; i < 10_000; i++) assertEquals(1, clerk.receipt("x" + i, true, 9001).period());
+        assertEquals(Map.of("a/paid", 10_000), clerk.totals(1));
+        assertEquals(0, clerk.unsettled());
+    }
+
+    /**
+     * Any order of sends, answers, store failures, crashes and receipts: what counts in the end is what ran, to the attempt.
+     * What is safe is what the store took; a crash loses the rest, and an attempt runs only if its first byte went out.
+     */
+    @Property(tries = 300)
+    void whatCountsIsWhatRanWhateverHappens(@ForAll long seed) {
+        var random = new SplittableRandom(seed);
+        List<Entry> disk = new ArrayList<>();
+        List<Entry> memory = new ArrayList<>();
+        Map<String, Boolean> ran = new HashMap<>();
+        double now = 1000;
+        Clerk clerk = new Clerk("0", "g0", TERMS);
+        memory.add(clerk.start("", now));
+        List<String> live = new ArrayList<>();
+        int n = 0, generation = 0;
+        for (int step = 0; step < 200; step++) {
+            now += random.nextDouble() * 30;
+            switch (random.nextInt(10)) {
+                case 0, 1, 2 -> {
+                    String a = "g" + generation + "-" + n++;
+                    Entry e = clerk.intend(paid(a), now);
+                    if (e != null) memory.add(e);
+                    live.add(a);
+                }
+                case 3, 4 -> {
+                    disk.addAll(memory);
+                    memory.clear();
+                    clerk.safe(disk.isEmpty() ? -1 : disk.get(disk.size() - 1).seq());
+                }
+                case 5 -> clerk.failed();
+                case 6 -> { // a crash: memory is lost; the next process starts from the disk
+                    memory.clear();
+                    live.clear();
+                    clerk = new Clerk("0", "g" + ++generation, TERMS);
+                    disk.forEach(clerk::recover);
+                    memory.add(clerk.start("", now));
+                }
+                default -> {
+                    if (live.isEmpty()) break;
+                    String a = live.remove(random.nextInt(live.size()));
+                    boolean wrote = clerk.mayWrite(a) == Clerk.Verdict.GO;
+                    if (wrote) {
+                        clerk.written(a);
+                        assertTrue(disk.stream().anyMatch(e -> e.attempt().equals(a)), "its intent is on disk, seed " + seed);
+                        ran.put(a, random.nextBoolean());
+                    }
+                    if (random.nextInt(4) == 0) break; // no answer ever comes: the process dies before
+                    Entry e = clerk.over(a, wrote && ran.get(a) && random.nextBoolean(), !wrote, now);
+                    if (e != null) memory.add(e);
+                }
+            }
+        }
+        // one more start; hosts tell what they know
+        disk.addAll(memory);
+        Clerk last = new Clerk("0", "end", TERMS);
+        disk.forEach(last::recover);
+        disk.add(last.start("", now));
+        for (Clerk.Paid p : last.ask(now + 60)) disk.add(last.receipt(p.attempt(), ran.getOrDefault(p.attempt(), false), now + 61));
+        var totals = new Totals();
+        disk.forEach(totals::take);
+        var expected = new java.util.TreeSet<String>();
+        ran.forEach((a, yes) -> {
+            if (yes) expected.add(a);
+        });
+        assertEquals(expected, new java.util.TreeSet<>(totals.attempts()), "seed " + seed);
+        assertEquals(List.of(), totals.doubles(), "seed " + seed);
+    }
+
+    // ---- export ----
+
+    /** A desk that takes each line once, over a wire that loses, cuts and repeats: all arrives, once, in order. */
+    @Property(tries = 200)
+    void allIsExportedOnceWhateverTheWireDoes(@ForAll long seed, @ForAll @IntRange(min = 1, max = 7) int batch) {
+        var random = new SplittableRandom(seed);
+        var outbox = new Outbox(new Outbox.Terms(batch, 1, 50, 1000, 1000), seed);
+        Map<String, Long> desk = new LinkedHashMap<>();
+        Map<String, Long> local = new LinkedHashMap<>(Map.of("g1", 17L, "g2", 23L));
+        local.forEach(outbox::safe);
+        double now = 0;
+        Outbox.Send earlier = null;
+        for (int i = 0; i < 5000 && outbox.waiting() > 0; i++) {
+            now += 10;
+            Outbox.Step step = outbox.next(now);
+            if (step instanceof Outbox.AskCursor) {
+                if (random.nextInt(3) == 0) outbox.failed(now);
+                else {
+                    desk.forEach((g, k) -> outbox.cursor(g, k, true));
+                    outbox.cursorsDone();
+                }
+            } else if (step instanceof Outbox.Send s) {
+                long held = desk.getOrDefault(s.generation(), 0L);
+                assertTrue(s.from() <= held, "no gap is ever sent");
+                long taken = random.nextInt(3) == 0 ? s.from() + random.nextInt((int) (s.to() - s.from()) + 1) : s.to();
+                if (random.nextInt(4) != 0) desk.put(s.generation(), Math.max(held, taken));
+                if (earlier != null && random.nextInt(3) == 0) {
+                    outbox.acknowledged(earlier.generation(), earlier.number() + 99, 999, true); // for another batch
+                }
+                if (random.nextInt(3) == 0) outbox.failed(now); // the acknowledgement is lost
+                else outbox.acknowledged(s.generation(), s.number(), desk.getOrDefault(s.generation(), 0L), true);
+                earlier = s;
+            } else if (step instanceof Outbox.Rest r && Double.isFinite(r.until())) {
+                now = Math.max(now, r.until());
+            }
+        }
+        assertEquals(local, new java.util.TreeMap<>(desk), "seed " + seed);
+        assertEquals(0, outbox.waiting());
+    }
+
+    @Test
+    void anOldCopyOrAForkIsNotExportedTheNewGenerationIs() {
+        var outbox = new Outbox(new Outbox.Terms(10, 1, 50, 100, 1000), 1);
+        outbox.safe("old", 5);
+        outbox.safe("forked", 5);
+        outbox.safe("new", 3);
+        assertTrue(outbox.next(0) instanceof Outbox.AskCursor);
+        outbox.cursor("old", 9, true);
+        outbox.cursor("forked", 4, false);
+        outbox.cursorsDone();
+        assertEquals(new Outbox.Send("new", 0, 0, 3), outbox.next(1));
+        assertEquals(Map.of("old", Outbox.Bar.STALE, "forked", Outbox.Bar.FORK), outbox.barred());
+    }
+
+    @Test
+    void resendingKeepsWithinItsBudget() {
+        var outbox = new Outbox(new Outbox.Terms(10, 1, 2, 5, 1000), 1);
+        outbox.safe("g", 5);
+        int sent = 0;
+        for (double t = 0; t < 1000; t += 1) {
+            if (outbox.next(t) instanceof Outbox.Rest) continue;
+            sent++;
+            outbox.failed(t);
+        }
+        assertEquals(5, sent);
+    }
+
+    // ---- reconciling ----
+
+    private static List<String> kinds(Map<String, List<String>> files) {
+        return Reconciliation.of(KEYS, files).findings().stream().map(Reconciliation.Finding::kind).distinct().sorted().toList();
+    }
+
+    @Test
+    void gapsForksDoublesAndStaleCopiesAreNamed() {
+        List<String> a = chain("0", "g", 6, ""), b = chain("1", "g", 4, "");
+        assertEquals(List.of(), kinds(Map.of("a", a, "b", b)));
+        List<String> cut = new ArrayList<>(a);
+        cut.remove(3);
+        assertTrue(kinds(Map.of("a", cut)).contains("gap"));
+        assertEquals(List.of("stale"), kinds(Map.of("a", a, "copy", a.subList(0, 4))));
+        Entry other = new Entry("0", "g", 3, Entry.Kind.RAN, "other", "", "a", "paid", 1, 2, "h", 0, 3, 1, "");
+        List<String> fork = new ArrayList<>(a.subList(0, 3));
+        fork.add(Sealed.seal(KEYS, Sealed.parse(a.get(2)).mac(), other).line());
+        assertTrue(kinds(Map.of("a", a, "fork", fork)).contains("fork"));
+        String head = Sealed.parse(a.get(3)).mac();
+        List<String> next = chain("0", "h", 2, "g:3:" + head);
+        assertEquals(List.of("stale"), kinds(Map.of("a", a, "next", next)), "started from a copy that ended at 3");
+        assertEquals(List.of("gap"), kinds(Map.of("next", next)), "what it follows is held nowhere");
+        List<String> twice = chain("0", "h", 1, "");
+        Entry again = new Entry("0", "h", 1, Entry.Kind.RAN, "0g1", "", "a", "paid", 1, 2, "h", 0, 3, 1, "");
+        twice.add(Sealed.seal(KEYS, Sealed.parse(twice.get(0)).mac(), again).line());
+        var result = Reconciliation.of(KEYS, Map.of("a", a, "h", twice));
+        assertEquals("double", result.findings().get(0).kind());
+        assertEquals(Map.of("a", 5L), result.totals().byTenant(), "and counts once");
+    }
+}
--- /dev/null
+++ b/src/test/java/trestleline/ledger/store/StoreTest.java
@@ -0,0 +1,222 @@
+package trestleline.ledger.store;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.RandomAccessFile;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import trestleline.ledger.Entry;
+import trestleline.ledger.Keys;
+import trestleline.ledger.Sealed;
+
+class StoreTest {
+    static final String KEYS = "k " + "7f".repeat(32);
+    private static final int FILES = 8, KILLS = 25;
+
+    static Entry entry(String generation, long seq) {
+        return new Entry("0", generation, seq, seq == 0 ? Entry.Kind.START : Entry.Kind.RAN, "a" + generation + seq, "", "t", "c",
+            1, 2, "h", 0, seq, seq == 0 ? 0 : 1, "");
+    }
+
+    static List<String> lines(String generation, int n) {
+        List<String> all = new ArrayList<>();
+        String head = Sealed.NONE;
+        for (int i = 0; i < n; i++) {
+            Sealed s = Sealed.seal(Keys.read(KEYS), head, entry(generation, i));
+            head = s.mac();
+            all.add(s.line());
+        }
+        return all;
+    }
+
+    private static List<String> read(Path file) throws IOException {
+        List<String> all = new ArrayList<>();
+        try (var store = new MvStoreLedger(file)) {
+            store.scan(all::add);
+        }
+        return all;
+    }
+
+    @TempDir
+    private Path dir;
+
+    @Test
+    void linesAreFoundByGenerationAndSequenceAfterReopening() throws IOException {
+        Path file = dir.resolve("ledger");
+        List<String> a = lines("a", 30), b = lines("b", 10);
+        try (var store = new MvStoreLedger(file)) {
+            store.append(a);
+            store.append(b);
+            store.append(b); // again, as after a failure
+        }
+        try (var store = new MvStoreLedger(file)) {
+            assertEquals(40, store.size());
+            assertEquals(a.subList(5, 9), store.range("a", 5, 9));
+            assertEquals(b.subList(8, 10), store.range("b", 8, 99));
+            assertEquals(List.of("a", "b"), store.generations());
+            assertEquals(30, store.next("a"));
+        }
+    }
+
+    /** Two hundred kills of a writing process, at seeded times: nothing acknowledged is lost, nothing doubled. */
+    @Test
+    void killedAtAnyPointNothingAcknowledgedIsLostOrDoubled() throws Exception {
+        ExecutorService some = Executors.newFixedThreadPool(8);
+        try {
+            List<Future<Integer>> all = new ArrayList<>();
+            for (int f = 0; f < FILES; f++) {
+                int file = f;
+                all.add(some.submit(() -> kills(dir.resolve("ledger-" + file), new SplittableRandom(100 + file))));
+            }
+            int acknowledged = 0;
+            for (Future<Integer> f : all) acknowledged += f.get();
+            assertTrue(acknowledged > FILES * KILLS, "they wrote: " + acknowledged);
+        } finally {
+            some.shutdownNow();
+        }
+    }
+
+    private static int kills(Path file, SplittableRandom random) throws Exception {
+        int acknowledged = 0;
+        for (int k = 0; k < KILLS; k++) {
+            String generation = "g" + k;
+            Process p = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xshare:auto",
+                "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), WritingChild.class.getName(),
+                file.toString(), generation).redirectError(ProcessBuilder.Redirect.DISCARD).start();
+            long last = -1;
+            try (var out = new BufferedReader(new InputStreamReader(p.getInputStream()))) {
+                int groups = 1 + random.nextInt(12);
+                String line = null;
+                for (int i = 0; i < groups && (line = out.readLine()) != null; i++) last = Long.parseLong(line.split(" ")[1]);
+                java.util.concurrent.locks.LockSupport.parkNanos(random.nextLong(3_000_000));
+                p.toHandle().destroyForcibly(); // unlike the process itself this leaves its output to be read
+                while ((line = out.readLine()) != null) if (line.matches("safe \\d+")) last = Long.parseLong(line.split(" ")[1]);
+            }
+            p.waitFor(10, TimeUnit.SECONDS);
+            List<String> stored = read(file);
+            assertEquals(List.of(), Sealed.verify(Keys.read(KEYS), stored), "kill " + k);
+            long held = stored.stream().filter(l -> l.contains("\"gen\":\"" + generation + "\"")).count();
+            assertTrue(held > last, "kill " + k + ": acknowledged up to " + last + ", stored " + held);
+            acknowledged += last + 1;
+        }
+        return acknowledged;
+    }
+
+    @Test
+    void aTornEndIsCutBackToWhatWasWhole() throws IOException {
+        Path file = dir.resolve("torn");
+        try (var store = new MvStoreLedger(file)) {
+            for (String l : lines("a", 50)) store.append(List.of(l));
+        }
+        byte[] whole = Files.readAllBytes(file);
+        var random = new SplittableRandom(5);
+        for (int i = 0; i < 20; i++) {
+            Path torn = dir.resolve("torn-" + i);
+            Files.write(torn, whole);
+            try (var f = new RandomAccessFile(torn.toFile(), "rw")) {
+                f.setLength(whole.length - 1 - random.nextInt(4096));
+            }
+            List<String> left;
+            try {
+                left = read(torn);
+            } catch (IOException e) {
+                continue; // told, and not taken for a ledger
+            }
+            assertEquals(List.of(), Sealed.verify(Keys.read(KEYS), left), "what is read is a whole beginning");
+        }
+    }
+
+    /** A store that fails when told to, before or after it wrote. */
+    private static final class Faulty implements Store {
+        final Store in;
+        volatile int failBefore, failAfter;
+
+        Faulty(Store in) {
+            this.in = in;
+        }
+
+        @Override
+        public void append(List<String> lines) throws IOException {
+            if (failBefore-- > 0) throw new IOException("no space left on device");
+            in.append(lines);
+            if (failAfter-- > 0) throw new IOException("sync failed");
+        }
+
+        @Override
+        public long size() {
+            return in.size();
+        }
+
+        @Override
+        public void scan(Consumer<String> line) throws IOException {
+            in.scan(line);
+        }
+
+        @Override
+        public List<String> range(String generation, long from, long to) throws IOException {
+            return in.range(generation, from, to);
+        }
+
+        @Override
+        public long next(String generation) {
+            return in.next(generation);
+        }
+
+        @Override
+        public List<String> generations() {
+            return in.generations();
+        }
+
+        @Override
+        public void abandon() {
+            in.abandon();
+        }
+
+        @Override
+        public void close() throws IOException {
+            in.close();
+        }
+    }
+
+    @Test
+    void aFullDiskAndAFailingSyncLoseAndDoubleNothing() throws Exception {
+        Path file = dir.resolve("faulty");
+        var store = new Faulty(new MvStoreLedger(file));
+        store.failBefore = 2;
+        store.failAfter = 4;
+        CompletableFuture<Void> allSafe = new CompletableFuture<>();
+        int[] failures = new int[1];
+        List<String> lines = lines("a", 100);
+        var writer = new Writer(store, new Writer.Told() {
+            @Override
+            public void safe(long lastSeq) {
+                if (lastSeq == 99) allSafe.complete(null);
+            }
+
+            @Override
+            public void failed(IOException why) {
+                failures[0]++;
+            }
+        });
+        for (int i = 0; i < 100; i++) writer.add(i, lines.get(i));
+        allSafe.get(20, TimeUnit.SECONDS);
+        writer.close().get(20, TimeUnit.SECONDS);
+        assertTrue(failures[0] >= 5, "it failed " + failures[0] + " times");
+        assertEquals(lines, read(file));
+    }
+}
