--- a/src/main/java/trestleline/http/HttpFront.java
+++ b/src/main/java/trestleline/http/HttpFront.java
@@ -52,6 +52,7 @@
     private final SecureRandom random = new SecureRandom();
     private final Map<String, Waiting> waiting = new HashMap<>();
     private final Map<String, Playing> byToken = new HashMap<>(), bySid = new HashMap<>();
+    private final Map<Session, Playing> bySession = new HashMap<>();
     private HttpServer server;
     private long badRequests, hintsIgnored, hinted, segments, segmentsFailed, turnedAway, unnamed;
     private boolean draining;
@@ -72,11 +73,13 @@
             this.token = token;
             this.identity = identity;
             byToken.put(token, this);
+            bySession.put(session, this);
             if (identity != null) bySid.put(identity, this);
         }
 
         void forget() {
             byToken.remove(token);
+            bySession.remove(session);
             if (identity != null) bySid.remove(identity, this);
         }
     }
@@ -142,7 +145,8 @@
     }
 
     private void over(Session session) {
-        for (Playing p : List.copyOf(byToken.values())) if (p.session == session) p.forget();
+        Playing p = bySession.get(session);
+        if (p != null) p.forget();
     }
 
     public HttpFront(Vertx vertx, GatewayConfig config, Gateway gateway, HostClient hosts, DoubleSupplier clock) {
--- a/src/test/java/trestleline/path/WholePathTest.java
+++ b/src/test/java/trestleline/path/WholePathTest.java
@@ -323,6 +323,38 @@
         }
     }
 
+    /** Its connection moves no byte for too long; nothing of it is left at gateway or host. */
+    @Test
+    void aViewerThatStopsReadingIsCutOffAndItsSessionFreed() throws Exception {
+        String text = Town.DAY.replace("GATEWAYS", "1").replace("TROUBLES", "").replace("kb: [6, 12, 24]", "kb: [500, 1000, 3000]")
+            .replace("linkUnitKb: 400, rackLinkKb: 1000", "linkUnitKb: 90000, rackLinkKb: 300000")
+            .replace("segmentS: 0.5", "segmentS: 4").replace("idleMs: 4000", "idleMs: 2000").replace("ahead: 2", "ahead: 20");
+        try (var town = new Town(Day.parse("town", text), dir)) {
+            HttpResponse<byte[]> r = town.fetch(0, playlist("zone-guide", "long"));
+            String first = segment("zone-guide", "long", Town.segments(r).get(0));
+            List<Socket> all = new ArrayList<>();
+            try {
+                for (int i = 0; i < 12; i++) {
+                    var s = new Socket();
+                    s.setReceiveBufferSize(4096);
+                    s.connect(new java.net.InetSocketAddress("127.0.0.1", town.ports.get(0)));
+                    s.getOutputStream().write(("GET " + first + " HTTP/1.1\r\nHost: x\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+                    all.add(s);
+                }
+                town.empty();
+                Town.until("their connections are closed", () -> {
+                    try {
+                        return new String(town.fetch(0, "/-/status").body(), StandardCharsets.UTF_8).matches("(?s).*\"connections\":[1-3],.*");
+                    } catch (IOException | InterruptedException e) {
+                        throw new IllegalStateException(e);
+                    }
+                });
+            } finally {
+                for (Socket s : all) s.close();
+            }
+        }
+    }
+
     @Test
     void connectionsAreBoundedInNumber() throws Exception {
         try (var town = new Town(1, dir)) {
