--- a/src/main/java/trestleline/cli/Main.java
+++ b/src/main/java/trestleline/cli/Main.java
@@ -29,8 +29,12 @@
         if (code != 0) System.exit(code);
     }
 
-    /** Runs and returns the exit code; for tests. */
-    public static int run(String... args) {
+    private static int run(String... args) {
+        return line().execute(args);
+    }
+
+    /** The command line as it is run. */
+    static CommandLine line() {
         var line = new CommandLine(new Main());
         line.setExecutionExceptionHandler((e, commandLine, result) -> {
             if (e instanceof ConfigException c) {
@@ -41,6 +45,6 @@
             commandLine.getErr().println("trestleline: " + e);
             return 1;
         });
-        return line.execute(args);
+        return line;
     }
 }
