--- a/src/main/java/trestleline/hosts/HostClient.java
+++ b/src/main/java/trestleline/hosts/HostClient.java
@@ -175,7 +175,7 @@
         private void write() {
             if (done) return;
             switch (back.beforeWrite()) {
-                case WAIT -> vertx.setTimer(5, t -> write());
+                case WAIT -> vertx.setTimer(1, t -> write()); // a group commit takes about as long
                 case DROP -> { // told first: closing the connection must not look as if the host had done it
                     over(Outcome.IGNORED, Map.of());
                     discard(request);
