A host that drains between the decision and the first byte, tried on sockets

Need: the hardest case of the drain rule was tried in simulated time only: connecting on loopback takes no time. Change: a test holds a paid set-up at the check next to the write by its ledger's disk, drains every host meanwhile, then lets go. Measured: not a byte written, refused as never run, no rule broken.

--- a/src/test/java/trestleline/path/LedgerPathTest.java
+++ b/src/test/java/trestleline/path/LedgerPathTest.java
@@ -72,6 +72,7 @@
     private static final class Sick implements Store {
         final Store in;
         volatile boolean sick;
+        volatile java.util.concurrent.CountDownLatch held = new java.util.concurrent.CountDownLatch(0);
 
         Sick(Store in) {
             this.in = in;
@@ -80,6 +81,11 @@
         @Override
         public void append(List<String> lines) throws IOException {
             if (sick) throw new IOException("no space left on device");
+            try {
+                held.await();
+            } catch (InterruptedException e) {
+                throw new IOException(e);
+            }
             in.append(lines);
         }
 
@@ -158,6 +164,45 @@
         }
     }
 
+    /** The module has sent it, the connection is there, its intent is on the way to the disk: then the hosts drain. */
+    @Test
+    void aHostThatDrainsBetweenTransmitAndTheFirstByteIsSentNothing() throws Exception {
+        try (var town = new Town(1, dir)) {
+            Town.get(town.gateways.get(0).stop());
+            Files.writeString(dir.resolve("keys"), KEYS);
+            List<Sick> stores = new ArrayList<>();
+            var node = new GatewayNode(town.day.gateway(0, town.ports.get(0), town.fleet.feed().url("0"), dir.resolve("no-list")
+                .toString(), Map.of("file", dir.resolve("ledger").toString(), "keys", dir.resolve("keys").toString())), file -> {
+                    stores.add(new Sick(new MvStoreLedger(file)));
+                    return stores.get(0);
+                });
+            town.gateways.set(0, node);
+            Town.get(node.start());
+            Town.until("it knows its hosts", () -> Town.get(node.counts()).listVersion() > 0);
+            Town.until("its start is safe", () -> Town.get(node.ledger()).backlog() == 0);
+            var latch = new java.util.concurrent.CountDownLatch(1);
+            stores.get(0).held = latch;
+            var answer = town.ask(0, "induction", "short", 1);
+            Town.until("the module has sent it", () -> Town.get(node.counts()).attempts() == 1);
+            long version = Town.get(node.counts()).listVersion();
+            town.on(() -> {
+                List<trestleline.listing.Listed> all = new ArrayList<>();
+                for (var h : town.fleet.hosts()) {
+                    h.drain(true);
+                    all.add(new trestleline.listing.Listed(new trestleline.Front.Entry(h.spec().name(), "Stopping", "k", 0, "z1", 1,
+                        h.spec().slot()), "127.0.0.1", h.port()));
+                }
+                town.fleet.feed().publish(all);
+            });
+            Town.until("it was told", () -> Town.get(node.counts()).listVersion() > version);
+            latch.countDown();
+            assertEquals(503, answer.get(), "it provably never ran");
+            assertEquals(List.of(), town.setUps(), "not a byte of it was written");
+            assertTrue(Town.get(node.counts()).dropped() > 0);
+            assertEquals(List.of(), town.verdict().guilty());
+        }
+    }
+
     /** Passes only so many bytes of each connection, one more each time, and cuts it then. */
     private static final class Cutter {
         final NetServer server;
