One faulty store for all tests of the ledger

Cause: two tests had a failing store each, and the start of a gateway with one was written twice. Change: one store that fails or waits when told to, one way to start a gateway on it; the assertions are as they were.

--- a/src/test/java/trestleline/ledger/store/StoreTest.java
+++ b/src/test/java/trestleline/ledger/store/StoreTest.java
@@ -17,7 +17,6 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import trestleline.ledger.Entry;
@@ -141,62 +140,10 @@
         }
     }
 
-    /** A store that fails when told to, before or after it wrote. */
-    private static final class Faulty implements Store {
-        final Store in;
-        volatile int failBefore, failAfter;
-
-        Faulty(Store in) {
-            this.in = in;
-        }
-
-        @Override
-        public void append(List<String> lines) throws IOException {
-            if (failBefore-- > 0) throw new IOException("no space left on device");
-            in.append(lines);
-            if (failAfter-- > 0) throw new IOException("sync failed");
-        }
-
-        @Override
-        public long size() {
-            return in.size();
-        }
-
-        @Override
-        public void scan(Consumer<String> line) throws IOException {
-            in.scan(line);
-        }
-
-        @Override
-        public List<String> range(String generation, long from, long to) throws IOException {
-            return in.range(generation, from, to);
-        }
-
-        @Override
-        public long next(String generation) {
-            return in.next(generation);
-        }
-
-        @Override
-        public List<String> generations() {
-            return in.generations();
-        }
-
-        @Override
-        public void abandon() {
-            in.abandon();
-        }
-
-        @Override
-        public void close() throws IOException {
-            in.close();
-        }
-    }
-
     @Test
     void aFullDiskAndAFailingSyncLoseAndDoubleNothing() throws Exception {
         Path file = dir.resolve("faulty");
-        var store = new Faulty(new MvStoreLedger(file));
+        var store = new FaultyStore(new MvStoreLedger(file));
         store.failBefore = 2;
         store.failAfter = 4;
         CompletableFuture<Void> allSafe = new CompletableFuture<>();
--- a/src/test/java/trestleline/path/LedgerPathTest.java
+++ b/src/test/java/trestleline/path/LedgerPathTest.java
@@ -8,14 +8,12 @@
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetSocket;
-import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import trestleline.billing.LedgerKeeper;
@@ -27,8 +25,8 @@
 import trestleline.ledger.Keys;
 import trestleline.ledger.Outbox;
 import trestleline.ledger.Sealed;
+import trestleline.ledger.store.FaultyStore;
 import trestleline.ledger.store.MvStoreLedger;
-import trestleline.ledger.store.Store;
 import trestleline.rehearsal.Day;
 import trestleline.rehearsal.Rehearsal;
 import trestleline.rehearsal.Report;
@@ -68,84 +66,35 @@
             + "{ name: 'balancer_crash', at: 2, seconds: 0.5, part: 0.5 }, { name: 'balancer_crash', at: 4.5, seconds: 0.5, part: 1 }"));
     }
 
-    /** Fails every append while told to. */
-    private static final class Sick implements Store {
-        final Store in;
-        volatile boolean sick;
-        volatile java.util.concurrent.CountDownLatch held = new java.util.concurrent.CountDownLatch(0);
-
-        Sick(Store in) {
-            this.in = in;
-        }
-
-        @Override
-        public void append(List<String> lines) throws IOException {
-            if (sick) throw new IOException("no space left on device");
-            try {
-                held.await();
-            } catch (InterruptedException e) {
-                throw new IOException(e);
-            }
-            in.append(lines);
-        }
-
-        @Override
-        public long size() {
-            return in.size();
-        }
-
-        @Override
-        public void scan(Consumer<String> line) throws IOException {
-            in.scan(line);
-        }
-
-        @Override
-        public List<String> range(String generation, long from, long to) throws IOException {
-            return in.range(generation, from, to);
-        }
-
-        @Override
-        public long next(String generation) {
-            return in.next(generation);
-        }
-
-        @Override
-        public List<String> generations() {
-            return in.generations();
-        }
-
-        @Override
-        public void abandon() {
-            in.abandon();
-        }
-
-        @Override
-        public void close() throws IOException {
-            in.close();
-        }
+    /** In place of the town's one gateway, one with a ledger in a store that fails when told to. */
+    private FaultyStore withLedger(Town town) throws Exception {
+        Town.get(town.gateways.get(0).stop());
+        Files.writeString(dir.resolve("keys"), KEYS);
+        List<FaultyStore> stores = new ArrayList<>();
+        var node = new GatewayNode(town.day.gateway(0, town.ports.get(0), town.fleet.feed().url("0"), dir.resolve("no-list")
+            .toString(), Map.of("file", dir.resolve("ledger").toString(), "keys", dir.resolve("keys").toString())), file -> {
+                stores.add(new FaultyStore(new MvStoreLedger(file)));
+                return stores.get(0);
+            });
+        town.gateways.set(0, node);
+        Town.get(node.start());
+        Town.until("it knows its hosts", () -> Town.get(node.counts()).listVersion() > 0);
+        Town.until("its start is safe", () -> Town.get(node.ledger()).backlog() == 0);
+        return stores.get(0);
     }
 
     @Test
     void withAFullDiskPaidSessionsAreRefusedAndTheRestIsServed() throws Exception {
         try (var town = new Town(1, dir)) {
-            Town.get(town.gateways.get(0).stop());
-            Files.writeString(dir.resolve("keys"), KEYS);
-            List<Sick> stores = new ArrayList<>();
-            var node = new GatewayNode(town.day.gateway(0, town.ports.get(0), town.fleet.feed().url("0"), dir.resolve("no-list")
-                .toString(), Map.of("file", dir.resolve("ledger").toString(), "keys", dir.resolve("keys").toString())), file -> {
-                    stores.add(new Sick(new MvStoreLedger(file)));
-                    return stores.get(0);
-                });
-            town.gateways.set(0, node);
-            Town.get(node.start());
-            Town.until("it knows its hosts", () -> Town.get(node.counts()).listVersion() > 0);
+            FaultyStore store = withLedger(town);
+            GatewayNode node = town.gateways.get(0);
             assertEquals(200, town.ask(0, "induction", "short", 1).get());
             int before = town.setUps().size();
-            stores.get(0).sick = true;
+            store.failBefore = Integer.MAX_VALUE;
             for (int v = 10; v < 16; v++) assertEquals(503, town.ask(0, "induction", "short", v).get(), "refused, not lost");
             assertEquals(before, town.setUps().size(), "no unrecorded paid set-up went out");
             assertEquals(200, town.ask(0, "zone-guide", "short", 20).get());
-            stores.get(0).sick = false;
+            store.failBefore = 0;
             Town.until("the store is well", () -> Town.get(node.ledger()).backlog() == 0);
             assertEquals(200, town.ask(0, "induction", "short", 30).get());
             assertEquals(List.of(), town.verdict().guilty());
@@ -154,8 +103,8 @@
             town.on(() -> town.fleet.hosts().forEach(h -> ran.addAll(h.ran().keySet())));
             Town.get(node.stop());
             List<String> lines = new ArrayList<>();
-            try (var store = new MvStoreLedger(dir.resolve("ledger"))) {
-                store.scan(lines::add);
+            try (var left = new MvStoreLedger(dir.resolve("ledger"))) {
+                left.scan(lines::add);
             }
             assertEquals(List.of(), Sealed.verify(Keys.read(KEYS), lines));
             for (String a : ran) assertTrue(lines.stream().anyMatch(l -> l.contains(a) && l.contains("\"RAN\"")), a);
@@ -168,20 +117,10 @@
     @Test
     void aHostThatDrainsBetweenTransmitAndTheFirstByteIsSentNothing() throws Exception {
         try (var town = new Town(1, dir)) {
-            Town.get(town.gateways.get(0).stop());
-            Files.writeString(dir.resolve("keys"), KEYS);
-            List<Sick> stores = new ArrayList<>();
-            var node = new GatewayNode(town.day.gateway(0, town.ports.get(0), town.fleet.feed().url("0"), dir.resolve("no-list")
-                .toString(), Map.of("file", dir.resolve("ledger").toString(), "keys", dir.resolve("keys").toString())), file -> {
-                    stores.add(new Sick(new MvStoreLedger(file)));
-                    return stores.get(0);
-                });
-            town.gateways.set(0, node);
-            Town.get(node.start());
-            Town.until("it knows its hosts", () -> Town.get(node.counts()).listVersion() > 0);
-            Town.until("its start is safe", () -> Town.get(node.ledger()).backlog() == 0);
+            FaultyStore store = withLedger(town);
+            GatewayNode node = town.gateways.get(0);
             var latch = new java.util.concurrent.CountDownLatch(1);
-            stores.get(0).held = latch;
+            store.held = latch;
             var answer = town.ask(0, "induction", "short", 1);
             Town.until("the module has sent it", () -> Town.get(node.counts()).attempts() == 1);
             long version = Town.get(node.counts()).listVersion();
