--- a/src/main/java/trestleline/Decide.java
+++ b/src/main/java/trestleline/Decide.java
@@ -236,8 +236,11 @@
         double from = Math.max(s.since, s.backAt);
         if (r.cold() <= 0) return true;
         if (s.lost || now - from < r.cold()) {
+            // turns of one length for all: cut by a gap that shrinks with warmth, a clock that counts from
+            // long ago gave every front turns of its own, and three of them sent in the same second
             double gap = r.cold() / (places(s) * warmth(s));
-            return (long) Math.floor(now / gap) % set.fronts() == set.me() && now - s.lastPaced >= gap;
+            double turn = r.cold() / (places(s) * Math.max(0.01, r.coldShare()));
+            return (long) Math.floor(now / turn) % set.fronts() == set.me() && now - s.lastPaced >= gap;
         }
         if (subscribed || s.proven || now - born >= r.cold()) return true;
         double gap = r.cold() * set.fronts() / (places(s) * r.coldShare() * Math.max(1, r.overloadFactor()));
--- a/src/test/java/trestleline/RulesTest.java
+++ b/src/test/java/trestleline/RulesTest.java
@@ -86,6 +86,33 @@
         assertNull(Scene.sentTo(w.request(9, "safe")));
     }
 
+    @Test
+    void frontsTakeTurnsAtAColdServerHoweverLongAgoTheirClockBegan() {
+        // three fronts, a clock that counts from an epoch, more requests than the server may take
+        for (double epoch : new double[] {0, 1e6, 1.7961e12}) {
+            List<Scene> fronts = new java.util.ArrayList<>();
+            for (int me = 0; me < 3; me++) {
+                Scene w = Scene.of();
+                w.fronts = 3;
+                w.me = me;
+                w.now = epoch + 50_000;
+                w.start("a");
+                w.list("patch", Scene.entry("a", "Running", w.now, 0));
+                fronts.add(w);
+            }
+            List<Double> sent = new java.util.ArrayList<>();
+            for (int i = 0; i < 800; i++) {
+                for (Scene w : fronts) if (Scene.sentTo(w.later(10).request(100 + i, "safe")) != null) sent.add(w.now);
+            }
+            for (double from : sent) {
+                double warmth = 0.4 + 0.6 * Math.min(1, (from + 1000 - epoch - 50_000) / 10000);
+                long within = sent.stream().filter(t -> t >= from && t < from + 1000).count();
+                assertTrue(within <= 2 * 30 / 10000.0 * warmth * 1000 + 1, within + " within a second, from " + epoch);
+            }
+            assertTrue(sent.size() > 8, "and it is used: " + sent.size());
+        }
+    }
+
     @Test
     void aColdServerGetsSetUpsAtItsPaceOnly() {
         Scene w = Scene.of();
