Worse hosts, an account that adds up, and a last check that lets no passed turn be made up for

The stand-ins were kinder than the world: hosts erred before they ran and never after, drains came at leisure.

What it found: gateways that stood still together wrote to a cold host in the moment they woke. LastCheck drops a set-up for a cold host that waited more than 100 ms since it was decided. The judge counts a warm-up from the start that the host tells, and answers read while the peers' own loop was held up as that late at most.

The catalogue of flaws in the real gateway comes as src/test/.../convict.

--- a/src/main/java/trestleline/core/Gateway.java
+++ b/src/main/java/trestleline/core/Gateway.java
@@ -148,6 +148,7 @@
         playing--;
         Entry e = entries.remove(session.ask().req());
         if (e == null) return;
+        if (why == End.HOST_LOST) roster.lost(session.host(), clock.getAsDouble());
         hosts.release(session.attempt());
         Viewer viewer = e.viewer;
         intake.add(Intake.Kind.ANSWER, () -> {
@@ -317,8 +318,10 @@
 
     private Hosts.Go mayWrite(Entry e, Attempt attempt) {
         boolean wanted = !stopped && e.attempt == attempt && e.viewer != null;
+        double now = clock.getAsDouble();
         Hosts.Go go = lastCheck.go(new LastCheck.Facts(wanted, intake.lag() > 0,
-            clock.getAsDouble() >= attempt.expireAt(), roster.takesNew(attempt.host()),
+            now >= attempt.expireAt(), roster.takesNew(attempt.host()),
+            roster.cold(attempt.host(), now, settings.rules().cold()), now - e.sentAt,
             () -> paid(attempt) ? books.mayWrite(attempt) : Hosts.Go.WRITE));
         if (go == Hosts.Go.DROP) dropped++;
         if (go == Hosts.Go.WRITE && paid(attempt)) books.written(attempt);
@@ -355,6 +358,7 @@
         if (e.attempt != attempt) return;
         e.attempt = null;
         e.flight = null;
+        if (outcome == Outcome.CONNECT_ERROR || outcome == Outcome.RESET_BY_PEER) roster.lost(attempt.host(), clock.getAsDouble());
         if (paid(attempt)) books.over(attempt, outcome);
         boolean concluded = e.viewer == null;
         if (concluded) entries.remove(e.ask.req());
--- a/src/main/java/trestleline/core/LastCheck.java
+++ b/src/main/java/trestleline/core/LastCheck.java
@@ -15,9 +15,18 @@
      * @param late the loop stood still: changes of the list may lie unread in their socket
      * @param expired the attempt's time is up
      * @param listed the host is listed as running
+     * @param cold the host is known to have started, or was seen lost, within the time that one takes to warm up
+     * @param waitedMs since the module decided
      * @param books what the books say of a paid set-up, asked only once all else allows the write
      */
-    record Facts(boolean wanted, boolean late, boolean expired, boolean listed, Supplier<Hosts.Go> books) { }
+    record Facts(boolean wanted, boolean late, boolean expired, boolean listed, boolean cold, double waitedMs,
+                 Supplier<Hosts.Go> books) { }
+
+    /**
+     * So long (ms) a decision for a cold host holds. Gateways take turns at one by the clock; a set-up written after its turn
+     * meets those of the others, and gateways that stood still together would push it over in the moment they wake.
+     */
+    double TURN = 100;
 
     /**
      * Lateness comes before the list: what the list says while the loop is late may be old, in both directions. Books
@@ -26,7 +35,7 @@
     LastCheck RULES = f -> {
         if (!f.wanted()) return Hosts.Go.DROP;
         if (f.late()) return Hosts.Go.WAIT;
-        if (f.expired() || !f.listed()) return Hosts.Go.DROP;
+        if (f.expired() || !f.listed() || f.cold() && f.waitedMs() > TURN) return Hosts.Go.DROP;
         return f.books().get();
     };
 
--- a/src/main/java/trestleline/core/Roster.java
+++ b/src/main/java/trestleline/core/Roster.java
@@ -7,6 +7,7 @@
 /** The list of hosts as this gateway was last told, for the check next to the write. Bounded by the list itself. */
 final class Roster {
     private Map<String, Front.Entry> entries = new HashMap<>();
+    private final Map<String, Double> lostAt = new HashMap<>();
     private long version;
 
     void apply(Front.Update update) {
@@ -16,9 +17,22 @@
             if (e.status().equals("Deleted")) entries.remove(e.host());
             else entries.put(e.host(), e);
         }
+        lostAt.keySet().retainAll(entries.keySet());
         version = update.version();
     }
 
+    /** A connection to the host failed or broke: what answers there later may be a new process, and cold. */
+    void lost(String host, double now) {
+        if (entries.containsKey(host)) lostAt.put(host, now);
+    }
+
+    /** Whether the host may have started within the last {@code window} ms, as the list tells or as was seen. */
+    boolean cold(String host, double now, double window) {
+        Front.Entry e = entries.get(host);
+        if (e == null) return false;
+        return e.since() > 0 && now - e.since() < window || now - lostAt.getOrDefault(host, Double.NEGATIVE_INFINITY) < window;
+    }
+
     boolean takesNew(String host) {
         Front.Entry e = entries.get(host);
         return e != null && e.status().equals("Running");
--- a/src/main/java/trestleline/daemon/GatewayNode.java
+++ b/src/main/java/trestleline/daemon/GatewayNode.java
@@ -41,6 +41,7 @@
     private final Vertx vertx;
     private final Context loop;
     private Gateway gateway;
+    private HostClient hosts;
     private HttpFront front;
     private ListClient list;
     private LedgerKeeper ledger;
@@ -79,7 +80,7 @@
         loop.runOnContext(v -> {
             var clock = new WallClock();
             Timers timers = seams.timers((ms, task) -> vertx.setTimer(Math.max(1, (long) Math.ceil(ms)), t -> task.run()));
-            var hosts = new HostClient(vertx, settings, config.media().silentMs(), clock);
+            hosts = new HostClient(vertx, settings, config.media().silentMs(), clock);
             list = new ListClient(vertx, config, hosts, seams.told(u -> gateway.update(u)), random.nextLong());
             Books books = Books.NONE;
             if (config.ledger().kept()) {
@@ -144,11 +145,17 @@
 
     /** Ends as a crash does: sockets close, nothing is answered or handed over. */
     public Future<Void> kill() {
+        Promise<Void> halted = Promise.promise();
         loop.runOnContext(v -> {
             if (gateway != null) gateway.halt();
+            if (hosts != null) hosts.close();
             if (ledger != null) ledger.kill();
+            halted.complete();
         });
-        return vertx.close();
+        // closed from outside: the loop that closes itself can tell nobody that it is done
+        Promise<Void> done = Promise.promise();
+        halted.future().onComplete(h -> new Thread(() -> vertx.close().onComplete(done)).start());
+        return done.future();
     }
 
     /** Holds the event loop still, as a long pause of the process would; for rehearsals. Done when it runs again. */
--- a/src/main/java/trestleline/hosts/HostClient.java
+++ b/src/main/java/trestleline/hosts/HostClient.java
@@ -49,6 +49,8 @@
     private final DoubleSupplier clock;
     private final Map<String, Link> links = new HashMap<>();
     private Gateway gateway;
+    private long breaks;
+    private boolean closed;
 
     private static final class Link {
         final String ip;
@@ -80,6 +82,7 @@
     /** A host's address as listed. A host that moved gets a new link; what is under way on the old one ends there. */
     public void know(String host, String ip, int port) {
         Link link = links.get(host);
+        if (closed) return;
         if (link != null && link.ip.equals(ip) && link.port == port) {
             link.listed = true;
             return;
@@ -103,14 +106,31 @@
 
     private HttpClientAgent client(Link link) {
         if (link.client == null) {
-            link.client = vertx.createHttpClient(new HttpClientOptions()
+            link.client = vertx.httpClientBuilder().with(new HttpClientOptions()
                 .setConnectTimeout((int) Math.max(1, rules.connectTimeout())).setKeepAliveTimeout(KEEP_ALIVE)
-                .setMaxHeaderSize(16384), new PoolOptions().setHttp1MaxSize(CONNECTIONS)
-                .setMaxWaitQueueSize(CONNECTIONS));
+                .setMaxHeaderSize(16384)).with(new PoolOptions().setHttp1MaxSize(CONNECTIONS)
+                .setMaxWaitQueueSize(CONNECTIONS)).withConnectHandler(c -> c.exceptionHandler(e -> broke(link, e))).build();
         }
         return link.client;
     }
 
+    /** A connection broke; whoever waits on it is told by its own handlers. */
+    private void broke(Link link, Throwable e) {
+        breaks++;
+        LOG.atDebug().addKeyValue("port", link.port).addKeyValue("cause", e.getMessage()).log("connection broke");
+    }
+
+    /** Connections to hosts that broke, for the operator. */
+    public long breaks() {
+        return breaks;
+    }
+
+    /** Opens nothing from now on: what is still to be freed is left to the hosts' own time-outs. */
+    public void close() {
+        links.clear();
+        closed = true;
+    }
+
     private static RequestOptions to(Link link, HttpMethod method, String uri) {
         return new RequestOptions().setHost(link.ip).setPort(link.port).setMethod(method).setURI(uri);
     }
--- a/src/main/java/trestleline/http/HttpFront.java
+++ b/src/main/java/trestleline/http/HttpFront.java
@@ -453,7 +453,7 @@
             .put("connectionsTimedOut", connections.timedOut()).put("badRequests", badRequests)
             .put("hinted", hinted).put("hintsIgnored", hintsIgnored).put("segments", segments)
             .put("segmentsFailed", segmentsFailed).put("turnedAway", turnedAway).put("tokens", byToken.size())
-            .put("links", hosts.links()).put("draining", draining);
+            .put("links", hosts.links()).put("hostConnectionsBroken", hosts.breaks()).put("draining", draining);
         response.putHeader("Content-Type", "application/json").end(json.encode() + "\n");
     }
 
--- a/src/main/java/trestleline/judge/Judge.java
+++ b/src/main/java/trestleline/judge/Judge.java
@@ -25,6 +25,7 @@
     private final Map<String, Integer> generation = new HashMap<>();
     private final Map<String, List<double[]>> stalls = new HashMap<>();
     private final Map<String, Host> hosts = new HashMap<>();
+    private final List<Seen.Blind> blinds = new ArrayList<>();
     private final Map<String, Map<String, Attempt>> held = new HashMap<>();
     private final List<Crowd> crowds = new ArrayList<>();
     private final Map<String, ArrayDeque<Double>> taken = new HashMap<>(), further = new HashMap<>();
@@ -73,7 +74,10 @@
         var judge = new Judge(figures);
         List<Seen> sorted = new ArrayList<>(day);
         sorted.sort(Comparator.comparingDouble(Seen::at)); // stable: one peer's own order stays
-        for (Seen s : sorted) if (s instanceof Seen.Stalled e) judge.stall(e);
+        for (Seen s : sorted) {
+            if (s instanceof Seen.Stalled e) judge.stall(e);
+            else if (s instanceof Seen.Blind e) judge.blinds.add(e);
+        }
         for (Seen s : sorted) {
             judge.crowds(s.at());
             judge.take(s);
@@ -118,7 +122,7 @@
 
     /**
      * When an answer is late: after the viewer's time and the grace. A gateway held still does not run; what fell due
-     * meanwhile is late a grace after it ran again.
+     * meanwhile is late a grace after it ran again. Peers that were held up themselves read late what came in time.
      */
     private double limit(Seen.Asked a) {
         double limit = a.at() + a.ttl() + figures.graceToAnswer();
@@ -127,6 +131,9 @@
                 limit = Math.max(limit, stall[1] + figures.graceToAnswer() + figures.slack());
             }
         }
+        for (Seen.Blind b : blinds) {
+            if (b.at() <= limit && b.until() >= limit) limit = b.until() + figures.graceToAnswer();
+        }
         return limit;
     }
 
@@ -138,8 +145,11 @@
         if (ask.answers > 1) verdict.broke(1, e.at(), "a second answer to " + name(ask));
         double limit = limit(ask.asked);
         if (e.at() > limit) {
-            verdict.broke(1, e.at(), String.format(java.util.Locale.ROOT, "answer %d to %s came %.1f ms late", e.status(),
-                name(ask), e.at() - limit));
+            verdict.broke(1, e.at(), String.format(java.util.Locale.ROOT, "answer %d to %s came %.1f ms late, %.0f ms after it was "
+                + "asked; stalls %s", e.status(), name(ask), e.at() - limit, e.at() - ask.asked.at(),
+                stalls.getOrDefault(ask.asked.gateway(), List.of()).stream().filter(s -> s[1] > ask.asked.at())
+                    .map(s -> String.format(java.util.Locale.ROOT, "%.0f to %.0f", s[0] - ask.asked.at(), s[1] - ask.asked.at()))
+                    .toList()));
         }
         if (e.status() == 503) refused(ask, e.at());
     }
@@ -311,7 +321,9 @@
         if (2 * knew < h.recent.size()) return;
         verdict.broke(4, e.at(), h.recent.size() + " set-ups within " + figures.fall() + " ms at cold host " + e.host()
             + ", " + knew + " from gateways that knew; its limit was "
-            + String.format(java.util.Locale.ROOT, "%.1f", limit));
+            + String.format(java.util.Locale.ROOT, "%.1f, %.0f ms after its start: ", limit, e.at() - h.startedAt)
+            + h.recent.stream().map(s -> String.format(java.util.Locale.ROOT, "%s %.0f ms before", s.attempt(),
+                e.at() - s.at())).toList());
     }
 
     /** A sender knew of a start if it was told, saw the failure before it, or started after it. */
--- a/src/main/java/trestleline/judge/Seen.java
+++ b/src/main/java/trestleline/judge/Seen.java
@@ -53,6 +53,9 @@
     /** A gateway was held still from {@code at} to {@code until}. */
     record Stalled(double at, String gateway, double until) implements Seen { }
 
+    /** The peers themselves were held up from {@code at} to {@code until}: what fell due then was read only afterwards. */
+    record Blind(double at, double until) implements Seen { }
+
     /** A host started, cold unless {@code warm}, and runs so many sessions when warm. */
     record HostUp(double at, String host, int slots, boolean warm) implements Seen { }
 
--- a/src/main/java/trestleline/rehearsal/Arriving.java
+++ b/src/main/java/trestleline/rehearsal/Arriving.java
@@ -5,8 +5,10 @@
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.PoolOptions;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.DoubleSupplier;
 import org.HdrHistogram.Histogram;
@@ -31,12 +33,12 @@
     private final Tally tally = new Tally();
     private double factor = 1, tenantFactor = 1;
     private boolean open = true;
-    private int live;
+    private final Set<Player> live = new LinkedHashSet<>();
     private long count;
 
     /** What became of all viewers. */
     static final class Tally {
-        long viewers, asked, granted, refused, failed, cut, left, segments, breaks, finished;
+        long viewers, asked, granted, refused, failed, cut, left, unheard, waiting, segments, breaks, finished;
         double stalledMs;
         final Histogram answerMs = new Histogram(60_000, 3);
     }
@@ -50,8 +52,9 @@
         random = new SplittableRandom(seed);
         titles = new ArrayList<>(day.template().titles().values());
         titles.sort(java.util.Comparator.comparing(GatewayConfig.Title::name));
-        client = vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(1000).setKeepAliveTimeout(5),
-            new PoolOptions().setHttp1MaxSize(20_000).setMaxWaitQueueSize(1000));
+        client = vertx.httpClientBuilder().with(new HttpClientOptions().setConnectTimeout(1000).setKeepAliveTimeout(5))
+            .with(new PoolOptions().setHttp1MaxSize(20_000).setMaxWaitQueueSize(1000))
+            .withConnectHandler(c -> c.exceptionHandler(e -> LOG.atDebug().log("connection broke"))).build();
     }
 
     void factor(double f) {
@@ -72,7 +75,7 @@
     }
 
     int live() {
-        return live;
+        return live.size();
     }
 
     Tally tally() {
@@ -138,7 +141,26 @@
         return 0;
     }
 
+    /** Which gateway a viewer asks: a given one first (-1: none), then any. */
+    private java.util.function.IntSupplier gatewayAfter(int first) {
+        int[] next = {first};
+        return () -> {
+            int g = next[0] >= 0 ? next[0] : gateway();
+            next[0] = -1;
+            return g;
+        };
+    }
+
+    /** So many viewers come at once, to one gateway at first. */
+    void rush(int gateway, int viewers) {
+        for (int i = 0; i < viewers; i++) arrive(gateway);
+    }
+
     private void arrive() {
+        arrive(-1);
+    }
+
+    private void arrive(int firstGateway) {
         Day.Arrivals a = day.arrivals();
         Front.Settings s = day.template().settings();
         String service = pick(a.classes(), 1), tenant = pick(a.tenants(), tenantFactor);
@@ -153,20 +175,33 @@
         var script = new Player.Script(tenant, service, titles.get(title()).name(), top, mtp,
             terms.effect() == Front.Effect.SIDE_EFFECT, terms.deadline(), a.aheadS(), day.template().media().segmentS(),
             tries, a.pauseMs(), leave, random.nextBoolean());
-        live++;
         tally.viewers++;
-        new Player(vertx, client, trace, clock, script, sid, GatewayConfig.number(sid), this::gateway,
-            g -> gateways.get(g).port(), random.nextLong(), this::done).start();
+        var player = new Player(vertx, client, trace, clock, script, sid, GatewayConfig.number(sid), gatewayAfter(firstGateway),
+            g -> gateways.get(g).port(), random.nextLong(), this::done);
+        live.add(player);
+        player.start();
     }
 
     private void done(Player p, Player.Result r) {
-        live--;
+        live.remove(p);
+        count(r);
+    }
+
+    /** Counts those that have not ended as they stand: what they still wait for is part of the account. */
+    void countLive() {
+        for (Player p : live) count(p.result());
+        live.clear();
+    }
+
+    private void count(Player.Result r) {
         tally.asked += r.asked;
         tally.granted += r.granted;
         tally.refused += r.refused;
         tally.failed += r.failed;
         tally.cut += r.cut;
         tally.left += r.left;
+        tally.unheard += r.unheard;
+        tally.waiting += r.waiting();
         if (r.cutBecause != null) LOG.atInfo().addKeyValue("because", r.cutBecause).log("a viewer was cut off");
         tally.segments += r.segments;
         tally.breaks += r.breaks;
--- a/src/main/java/trestleline/rehearsal/InJvm.java
+++ b/src/main/java/trestleline/rehearsal/InJvm.java
@@ -1,6 +1,7 @@
 package trestleline.rehearsal;
 
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import java.util.function.IntFunction;
 import java.util.function.Supplier;
 import trestleline.config.GatewayConfig;
@@ -11,7 +12,7 @@
 final class InJvm implements Runner {
     private final IntFunction<GatewayConfig> config;
     private final Supplier<Seams> seams;
-    private GatewayNode node;
+    private volatile GatewayNode node;
     private volatile int port;
 
     /** @param config the settings for a port, 0: any */
@@ -22,8 +23,17 @@
 
     @Override
     public Future<Integer> start() {
-        node = new GatewayNode(config.apply(port), seams.get());
-        return node.start().onSuccess(p -> port = p);
+        Promise<Integer> started = Promise.promise();
+        // a gateway's Vert.x is its own, and is not made on another's event loop
+        new Thread(() -> {
+            try {
+                node = new GatewayNode(config.apply(port), seams.get());
+                node.start().onSuccess(p -> port = p).onComplete(started);
+            } catch (RuntimeException e) {
+                started.fail(e);
+            }
+        }).start();
+        return started.future();
     }
 
     @Override
--- a/src/main/java/trestleline/rehearsal/Mishaps.java
+++ b/src/main/java/trestleline/rehearsal/Mishaps.java
@@ -21,6 +21,9 @@
 /** Does a day's troubles at the sockets, at their times. On the stand-ins' event loop. */
 final class Mishaps {
     private static final Logger LOG = LoggerFactory.getLogger(Mishaps.class);
+    /** Viewers that ask in the moment before a gateway stands still, how long (ms) before, and the hosts drained then. */
+    private static final int RUSH = 8;
+    private static final double RUSH_MS = 10, DRAINED = 0.4;
     private final Vertx vertx;
     private final Fleet fleet;
     private final List<Runner> gateways;
@@ -70,7 +73,10 @@
         LOG.atInfo().addKeyValue("trouble", t.name()).addKeyValue("at", now()).log("trouble");
         switch (t.name()) {
             case "balancer_crash" -> gatewayCrash(t);
-            case "balancer_stall" -> gatewayStall(t, t.seconds());
+            case "balancer_stall" -> {
+                for (MediaHost h : fleet.hosts()) during(t, h::brief);
+                gatewayStall(t, t.seconds());
+            }
             case "burst" -> during(t, on -> arriving.factor(on ? t.size() : 1));
             case "tenant_burst" -> during(t, on -> arriving.tenantFactor(on ? t.size() : 1));
             case "crash" -> running(t.part()).forEach(h -> hostCrash(h, t.seconds()));
@@ -83,7 +89,14 @@
             case "shared_slow" -> {
                 for (Rack r : fleet.racks()) during(t, on -> r.weaken(on ? t.size() : 1));
             }
-            case "discovery_stale" -> during(t, on -> fleet.feed().lag(on ? t.size() : fleet.day().list().lagMs()));
+            case "discovery_stale" -> {
+                during(t, on -> fleet.feed().lag(on ? t.size() : fleet.day().list().lagMs()));
+                // half of the gateways hear each change later still: none may count on what another was told
+                for (int g = 0; g < gateways.size(); g += 2) {
+                    String late = Integer.toString(g);
+                    during(t, on -> fleet.feed().later(late, on ? t.size() / 4 : 0));
+                }
+            }
             case "desk_faults" -> {
                 if (desk != null) during(t, on -> desk.faults(on ? t.size() : 0));
             }
@@ -114,8 +127,13 @@
 
     /** Told in time that it goes, gone after that, and a new one in its place some time later. */
     private void preempt(MediaHost h, Day.Trouble t) {
-        h.drain(true);
-        fleet.publish(vertx, h, "Stopping", 0);
+        Runnable drain = () -> {
+            if (h.draining()) return;
+            h.drain(true);
+            fleet.feed().tellNow(List.of(fleet.listed(h, "Stopping")));
+        };
+        h.atNextSetUp(drain); // in the very moment of a set-up, if one comes soon
+        in(t.seconds() / 4, drain);
         in(t.seconds(), () -> {
             h.crash();
             fleet.publish(vertx, h, "Deleted", 0);
@@ -192,14 +210,35 @@
         }));
     }
 
+    private void hold(int g, long ms) {
+        if (down[g]) return;
+        double from = now();
+        gateways.get(g).stall(ms).onComplete(s -> trace.add(new Seen.Stalled(from, Integer.toString(g), now())));
+    }
+
+    /** Drains that are told and taken back. */
+    private void takeBack(List<MediaHost> drained) {
+        for (MediaHost h : drained) {
+            if (h.mode() != MediaHost.Mode.RUNNING || !h.draining()) continue;
+            h.drain(false);
+            fleet.feed().tellNow(List.of(fleet.listed(h, "Running")));
+        }
+    }
+
     /** Stands still for {@code size} ms, every {@code everyS} seconds, one gateway after another. */
     private void gatewayStall(Day.Trouble t, double left) {
         if (left <= 0) return;
         for (int g : up(t.part())) {
-            double from = now();
-            gateways.get(g).stall((long) t.size()).onComplete(s ->
-                trace.add(new Seen.Stalled(from, Integer.toString(g), now())));
+            // with requests in hand, and the list changing while it can't look
+            arriving.rush(g, RUSH);
+            in(RUSH_MS / 1000, () -> hold(g, (long) t.size()));
         }
+        in(RUSH_MS / 1000 + 0.03, () -> {
+            List<MediaHost> drained = running(DRAINED);
+            for (MediaHost h : drained) h.drain(true);
+            fleet.feed().tellNow(drained.stream().map(h -> fleet.listed(h, "Stopping")).toList());
+            in((t.size() + 300) / 1000, () -> takeBack(drained));
+        });
         in(t.everyS(), () -> gatewayStall(t, left - t.everyS()));
     }
 }
--- a/src/main/java/trestleline/rehearsal/Rehearsal.java
+++ b/src/main/java/trestleline/rehearsal/Rehearsal.java
@@ -35,6 +35,8 @@
     private static final double SLACK = 150;
     /** How long (s) after the last viewer billing may take to hold all: receipts are asked for ever more seldom. */
     private static final int LEDGER_WAIT_S = 40;
+    /** Time (ms) between beats of the peers' loop; three missed in a row count as being held up. */
+    private static final int BEAT = 10;
     private final Day day;
     private final boolean processes;
     private final Consumer<String> say;
@@ -104,6 +106,7 @@
             var arriving = new Arriving(vertx, day, gateways, trace, clock, day.seed() * 31 + 1);
             var mishaps = new Mishaps(vertx, fleet, gateways, trace, arriving, this::saying, desk, dir,
                 day.seed() * 31 + 2);
+            watch(vertx, clock, trace);
             vertx.runOnContext(v -> {
                 fleet.feed().lag(day.list().lagMs());
                 arriving.start();
@@ -126,8 +129,14 @@
                     arriving.tally().viewers, arriving.live()));
             }
             double over = clock.getAsDouble();
+            Promise<Integer> unended = Promise.promise();
+            vertx.runOnContext(v -> {
+                unended.complete(arriving.live());
+                arriving.countLive();
+            });
+            int left = wait(unended.future(), 10);
             LedgerResult ledger = desk == null ? null : ledger(vertx, fleet, desk);
-            return report(trace.all(), over, arriving, fleet, (arrivalsEnd - from) / 1000, ledger);
+            return report(trace.all(), over, arriving, fleet, (arrivalsEnd - from) / 1000, left, ledger);
         } finally {
             for (Runner g : gateways) quietly(g.stop());
             quietly(vertx.close());
@@ -135,6 +144,16 @@
         }
     }
 
+    /** Notes when the peers' own loop is held up: what they see is worth no more than their eyes. */
+    private static void watch(Vertx vertx, WallClock clock, Trace trace) {
+        double[] last = {clock.getAsDouble()};
+        vertx.setPeriodic(BEAT, t -> {
+            double now = clock.getAsDouble();
+            if (now - last[0] > 3 * BEAT) trace.add(new Seen.Blind(last[0], now));
+            last[0] = now;
+        });
+    }
+
     static Path ledgerFile(Path dir, int gateway) {
         return dir.resolve("ledger-" + gateway);
     }
@@ -160,14 +179,15 @@
     }
 
     private Report report(List<Seen> seen, double end, Arriving arriving, Fleet fleet, double seconds,
-                          LedgerResult ledger) {
+                          int unended, LedgerResult ledger) {
         Verdict v = Judge.verdict(figures(day.template().settings()), seen, end);
         Arriving.Tally t = arriving.tally();
         long setUps = seen.stream().filter(s -> s instanceof Seen.SetUp).count();
         long fallen = fleet.hosts().stream().filter(h -> h.mode() == MediaHost.Mode.FALLEN).count();
         return new Report(day.name(), day.seed(), seconds, t.viewers, t.asked, t.granted, t.refused, t.failed, t.cut, t.left,
+            t.unheard, t.waiting,
             t.segments, t.breaks, t.finished, t.stalledMs, t.answerMs.getValueAtPercentile(50),
-            t.answerMs.getValueAtPercentile(99), t.answerMs.getMaxValue(), setUps, fallen, arriving.live(), v, ledger);
+            t.answerMs.getValueAtPercentile(99), t.answerMs.getMaxValue(), setUps, fallen, unended, v, ledger);
     }
 
     private static <T> T wait(Future<T> f, int seconds) throws InterruptedException, ExecutionException, TimeoutException {
--- a/src/main/java/trestleline/standin/ListFeed.java
+++ b/src/main/java/trestleline/standin/ListFeed.java
@@ -29,6 +29,8 @@
     private HttpServer server;
     private long version = 1;
     private double lag, lastDue;
+    /** Gateways that are told later than the others, and by how much (ms). */
+    private final Map<String, Double> later = new HashMap<>();
     private int port;
 
     public ListFeed(Vertx vertx, Trace trace, DoubleSupplier clock) {
@@ -58,6 +60,16 @@
         lag = ms;
     }
 
+    /** One gateway is told so much later (ms) than the others from now on. */
+    public void later(String gateway, double ms) {
+        later.put(gateway, ms);
+    }
+
+    /** Changes that are told in this very moment, before any that wait. */
+    public void tellNow(List<Listed> changes) {
+        apply(changes);
+    }
+
     /** Breaks every connection; followers must come again. */
     public void cut() {
         for (HttpServerResponse r : new ArrayList<>(followers.keySet())) r.reset();
@@ -78,10 +90,17 @@
             if (l.entry().status().equals("Deleted")) visible.remove(l.entry().host());
             else visible.put(l.entry().host(), l);
         }
-        followers.forEach((to, gateway) -> tell(to, gateway, "patch", changes));
+        long told = version;
+        followers.forEach((to, gateway) -> {
+            double ms = later.getOrDefault(gateway, 0.0);
+            if (ms < 1) tell(to, gateway, "patch", told, changes);
+            else vertx.setTimer((long) ms, t -> {
+                if (followers.containsKey(to)) tell(to, gateway, "patch", told, changes);
+            });
+        });
     }
 
-    private void tell(HttpServerResponse to, String gateway, String mode, List<Listed> entries) {
+    private void tell(HttpServerResponse to, String gateway, String mode, long version, List<Listed> entries) {
         to.write(Listed.write(mode, version, entries) + "\n");
         for (Listed l : entries) {
             Front.Entry e = l.entry();
@@ -98,7 +117,7 @@
         String gateway = String.valueOf(request.getParam("gateway"));
         List<Listed> all = List.copyOf(visible.values());
         response.setChunked(true).putHeader("Content-Type", "application/x-ndjson");
-        tell(response, gateway, "whole", all);
+        tell(response, gateway, "whole", version, all);
         if (request.params().contains("once")) {
             response.end();
             return;
--- a/src/main/java/trestleline/standin/MediaHost.java
+++ b/src/main/java/trestleline/standin/MediaHost.java
@@ -68,7 +68,8 @@
     private HttpServer server;
     private int port, epoch;
     private Mode mode = Mode.DOWN;
-    private boolean draining, warm;
+    private boolean draining, warm, brief;
+    private Runnable atNextSetUp;
     private double startedAt, neighbour = 1, errors, slow = 1, share = 1, lastTick;
 
     /** A set-up or session. */
@@ -167,17 +168,30 @@
             port = s.actualPort();
             mode = Mode.RUNNING;
             lastTick = clock.getAsDouble();
-            trace.add(new Seen.HostUp(clock.getAsDouble(), spec.name(), spec.slots(), warm));
+            trace.add(new Seen.HostUp(startedAt, spec.name(), spec.slots(), warm));
             vertx.setTimer((long) TICK, t -> tick(mine));
             return port;
         });
     }
 
-    /** Dies: connections break, nothing listens. */
+    /** Dies: connections break, nothing listens. Half of what it was setting up ran by then, and is never told of. */
     public Future<Void> crash() {
+        if (mode == Mode.RUNNING) {
+            for (Held h : held.values()) if (!h.runs && random.nextBoolean()) run(h);
+        }
         return down(Mode.DOWN);
     }
 
+    /** Runs a task when the next set-up reaches this host, before it looks at it. */
+    public void atNextSetUp(Runnable task) {
+        atNextSetUp = task;
+    }
+
+    /** Whether every connection is closed after one answer, so that every set-up waits in a connect. */
+    public void brief(boolean on) {
+        brief = on;
+    }
+
     private Future<Void> down(Mode to) {
         if (server == null) return Future.succeededFuture();
         mode = to;
@@ -311,6 +325,7 @@
         }
         HttpServerResponse response = request.response();
         response.exceptionHandler(e -> { });
+        if (brief) response.putHeader("Connection", "close");
         if (request.path().startsWith("/receipts")) {
             if (mode == Mode.RUNNING) receipts(request, response);
             return;
@@ -356,6 +371,9 @@
             return;
         }
         double now = clock.getAsDouble();
+        Runnable first = atNextSetUp;
+        atNextSetUp = null;
+        if (first != null) first.run();
         String gateway = attempt.substring(0, Math.max(0, attempt.indexOf('-')));
         trace.add(new Seen.SetUp(now, spec.name(), gateway, viewer, attempt, terms.name(), Long.toString(title), rung));
         response.putHeader("Trestleline-Attempt", attempt);
@@ -376,9 +394,10 @@
             response.setStatusCode(503).putHeader("Trestleline-Ran", "never").putHeader(Cmsd.DYNAMIC, told()).end();
             return;
         }
-        if (mode == Mode.RUNNING && random.nextDouble() < errors) {
+        Harm harm = mode == Mode.RUNNING && random.nextDouble() < errors ? Harm.draw(random) : null;
+        if (harm == Harm.ERRS_BEFORE) {
             over(attempt, Seen.How.ERRED);
-            response.setStatusCode(500).end();
+            harm.answer(vertx, request, attempt, 0);
             return;
         }
         var h = new Held(attempt, terms, title, rung);
@@ -389,15 +408,21 @@
             if (!h.runs && held.remove(attempt, h)) over(attempt, Seen.How.CALLED_OFF);
         });
         double work = physics.workFrom() + (physics.workTo() - physics.workFrom()) * random.nextDouble();
-        vertx.setTimer((long) Math.max(1, work * slow / warmth()), t -> begin(h, response));
+        vertx.setTimer((long) Math.max(1, work * slow / warmth()), t -> begin(h, request, harm));
     }
 
-    private void begin(Held h, HttpServerResponse response) {
+    private void begin(Held h, HttpServerRequest request, Harm harm) {
         if (held.get(h.attempt) != h) return;
         if (mode == Mode.HUNG) {
-            vertx.setTimer(50, t -> begin(h, response));
+            vertx.setTimer(50, t -> begin(h, request, harm));
             return;
         }
+        run(h);
+        if (harm != null) harm.answer(vertx, request, h.attempt, h.terms.deadline());
+        else request.response().setStatusCode(201).putHeader(Cmsd.DYNAMIC, told()).end();
+    }
+
+    private void run(Held h) {
         h.runs = true;
         h.touched = clock.getAsDouble();
         over(h.attempt, Seen.How.RAN);
@@ -406,7 +431,6 @@
                 + (long) clock.getAsDouble());
             ranAt.put(h.attempt, clock.getAsDouble());
         }
-        response.setStatusCode(201).putHeader(Cmsd.DYNAMIC, told()).end();
     }
 
     /** {@code /receipts/ATTEMPT}: ran or never; {@code /receipts?gateway=&after=}: a line for each that ran. */
--- a/src/main/java/trestleline/standin/Player.java
+++ b/src/main/java/trestleline/standin/Player.java
@@ -28,11 +28,16 @@
 
     /** What became of it. */
     public static final class Result {
-        public int asked, granted, refused, failed, cut, left, segments, breaks, late;
+        public int asked, granted, refused, failed, cut, left, unheard, segments, breaks;
         public double firstAnswerMs = Double.NaN, stalledMs;
         public boolean finished;
         /** Why an asking was cut off, and when and where it was; null: none was. */
         public String cutBecause;
+
+        /** Askings that have no outcome yet: 0 once it ended, at most one before. */
+        public int waiting() {
+            return asked - granted - refused - failed - cut - left - unheard;
+        }
     }
 
     private final Vertx vertx;
@@ -74,6 +79,11 @@
         this.done = done;
     }
 
+    /** What became of it so far. */
+    public Result result() {
+        return result;
+    }
+
     public Script script() {
         return script;
     }
@@ -108,6 +118,7 @@
         boolean[] answered = new boolean[1];
         client.request(to(base + "index.m3u8", true)).onComplete(got -> {
             if (got.failed()) { // nobody listens there: no gateway took the request
+                result.unheard++;
                 comeAgain();
                 return;
             }
@@ -145,12 +156,13 @@
     private void answer(HttpClientResponse response) {
         int status = response.statusCode();
         if (status == 200) {
+            result.granted++;
             response.body().onComplete(body -> {
                 if (body.failed()) {
+                    result.breaks++;
                     comeAgain();
                     return;
                 }
-                result.granted++;
                 segments = Playlist.read(body.result().toString(StandardCharsets.UTF_8));
                 next = Math.min(next, segments.size() - 1); // goes on where it broke off
                 playedUntil = clock.getAsDouble();
--- /dev/null
+++ b/src/test/java/trestleline/convict/Bent.java
@@ -0,0 +1,240 @@
+package trestleline.convict;
+
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.UnaryOperator;
+import trestleline.Decide;
+import trestleline.Front;
+import trestleline.core.Attempt;
+import trestleline.core.Books;
+import trestleline.core.Decider;
+import trestleline.core.Hosts;
+import trestleline.core.LastCheck;
+import trestleline.core.Outcome;
+import trestleline.core.Timers;
+import trestleline.daemon.Seams;
+
+/** Ways to bend a real gateway at one of its seams; what is not bent is joined as it is. */
+final class Bent {
+    private Bent() { }
+
+    /** How attempts ended, as told to everyone behind the host client. */
+    static Seams outcomes(UnaryOperator<Outcome> f) {
+        return hosts(real -> new Passing(real) {
+            @Override
+            public Flight setUp(Attempt a, Back back) {
+                return super.setUp(a, new Telling(back) {
+                    @Override
+                    public void over(Outcome outcome, Map<String, Double> report) {
+                        super.over(f.apply(outcome), report);
+                    }
+                });
+            }
+        });
+    }
+
+    static Seams hosts(UnaryOperator<Hosts> f) {
+        return new Seams() {
+            @Override
+            public Hosts hosts(Hosts real) {
+                return f.apply(real);
+            }
+        };
+    }
+
+    static Seams lastCheck(UnaryOperator<LastCheck> f) {
+        return new Seams() {
+            @Override
+            public LastCheck lastCheck(LastCheck real) {
+                return f.apply(real);
+            }
+        };
+    }
+
+    static Seams timers(UnaryOperator<Timers> f) {
+        return new Seams() {
+            @Override
+            public Timers timers(Timers real) {
+                return f.apply(real);
+            }
+        };
+    }
+
+    static Seams books(UnaryOperator<Books> f) {
+        return new Seams() {
+            @Override
+            public Books books(Books real) {
+                return f.apply(real);
+            }
+        };
+    }
+
+    static Seams told(UnaryOperator<Consumer<Front.Update>> f) {
+        return new Seams() {
+            @Override
+            public Consumer<Front.Update> told(Consumer<Front.Update> real) {
+                return f.apply(real);
+            }
+        };
+    }
+
+    /** Each entry of the list as it is passed on; null: not at all. */
+    static Seams entries(UnaryOperator<Front.Entry> f) {
+        return told(real -> u -> real.accept(new Front.Update(u.mode(),
+            u.entries().stream().map(f).filter(e -> e != null).toList(), u.version())));
+    }
+
+    /** The module sees other events and its actions are bent; either may be null. */
+    static Seams module(UnaryOperator<Front.Event> in, Function<Front.Action, List<Front.Action>> out) {
+        return new Seams() {
+            @Override
+            public Decider module(Front.Settings s, long seed, double now) {
+                Decider real = Seams.NONE.module(s, seed, now);
+                return (at, event) -> {
+                    List<Front.Action> all = real.on(at, in == null ? event : in.apply(event));
+                    return out == null ? all : all.stream().flatMap(a -> out.apply(a).stream()).toList();
+                };
+            }
+        };
+    }
+
+    /** The module works by other settings than the gateway was given. */
+    static Seams moduleSettings(UnaryOperator<Front.Settings> f) {
+        return new Seams() {
+            @Override
+            public Decider module(Front.Settings s, long seed, double now) {
+                return new Decide(f.apply(s), seed, now)::on;
+            }
+        };
+    }
+
+    /** Core, module and clients work by other settings than the gateway was given. */
+    static Seams allSettings(UnaryOperator<Front.Settings> f) {
+        return new Seams() {
+            @Override
+            public Front.Settings settings(Front.Settings real) {
+                return f.apply(real);
+            }
+        };
+    }
+
+    static Front.Settings terms(Front.Settings s, UnaryOperator<Front.Terms> f) {
+        return new Front.Settings(s.me(), s.fronts(), s.zone(), s.tick(), s.onRequest(), s.see(), s.toldEvery(),
+            s.reportFields(), s.reportVia(), s.classes().stream().map(f).toList(), s.accounts(), s.overShareWorth(),
+            s.ladder(), s.fleet(), s.rules(), s.prices());
+    }
+
+    static Front.Settings rules(Front.Settings s, double extraShare, double extraWindow, double coldShare, double cold,
+                                double factor) {
+        Front.Rules r = s.rules();
+        var changed = new Front.Rules(r.graceToAnswer(), r.askEvery(), r.freeResends(), extraShare, extraWindow, coldShare, cold,
+            r.drainGrace(), factor, r.fall(), r.sendCap(), r.cancel(), r.probes(), r.retryAfter(), r.maxRetryAfter(),
+            r.connectTimeout());
+        return new Front.Settings(s.me(), s.fronts(), s.zone(), s.tick(), s.onRequest(), s.see(), s.toldEvery(),
+            s.reportFields(), s.reportVia(), s.classes(), s.accounts(), s.overShareWorth(), s.ladder(), s.fleet(), changed,
+            s.prices());
+    }
+
+    static Front.Settings fronts(Front.Settings s, int fronts) {
+        return new Front.Settings(s.me(), fronts, s.zone(), s.tick(), s.onRequest(), s.see(), s.toldEvery(),
+            s.reportFields(), s.reportVia(), s.classes(), s.accounts(), s.overShareWorth(), s.ladder(), s.fleet(), s.rules(),
+            s.prices());
+    }
+
+    static Front.Terms term(Front.Terms t, double deadline, Front.Effect effect, int floor, int seats) {
+        return new Front.Terms(t.name(), t.aim(), t.stretch(), deadline, effect, t.group(), t.dedupWindow(), t.worth(), floor,
+            t.top(), t.rateFactor(), seats, t.live());
+    }
+
+    static Front.Entry entry(Front.Entry e, String status, double since) {
+        return new Front.Entry(e.host(), status, e.kind(), since, e.zone(), e.weight(), e.slot());
+    }
+
+    static Attempt renamed(Attempt a, String id, String host) {
+        return new Attempt(id, a.ask(), a.terms(), a.shot(), host, a.rung(), a.expireAt());
+    }
+
+    /** A host client that passes everything on. */
+    static class Passing implements Hosts {
+        final Hosts real;
+
+        Passing(Hosts real) {
+            this.real = real;
+        }
+
+        @Override
+        public Flight setUp(Attempt attempt, Back back) {
+            return real.setUp(attempt, back);
+        }
+
+        @Override
+        public void probe(String host, ProbeBack back) {
+            real.probe(host, back);
+        }
+
+        @Override
+        public void release(Attempt attempt) {
+            real.release(attempt);
+        }
+
+        @Override
+        public void hangUp(String host) {
+            real.hangUp(host);
+        }
+    }
+
+    /** A listener that passes everything on. */
+    static class Telling implements Hosts.Back {
+        final Hosts.Back real;
+
+        Telling(Hosts.Back real) {
+            this.real = real;
+        }
+
+        @Override
+        public Hosts.Go beforeWrite() {
+            return real.beforeWrite();
+        }
+
+        @Override
+        public void playing(Map<String, Double> report) {
+            real.playing(report);
+        }
+
+        @Override
+        public void over(Outcome outcome, Map<String, Double> report) {
+            real.over(outcome, report);
+        }
+    }
+
+    /** Books that pass everything on. */
+    static class Keeping implements Books {
+        final Books real;
+
+        Keeping(Books real) {
+            this.real = real;
+        }
+
+        @Override
+        public void intend(Attempt attempt) {
+            real.intend(attempt);
+        }
+
+        @Override
+        public Hosts.Go mayWrite(Attempt attempt) {
+            return real.mayWrite(attempt);
+        }
+
+        @Override
+        public void written(Attempt attempt) {
+            real.written(attempt);
+        }
+
+        @Override
+        public void over(Attempt attempt, Outcome outcome) {
+            real.over(attempt, outcome);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/trestleline/convict/Flaw.java
@@ -0,0 +1,284 @@
+package trestleline.convict;
+
+import io.vertx.core.Future;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Supplier;
+import trestleline.Front;
+import trestleline.core.Attempt;
+import trestleline.core.Books;
+import trestleline.core.Hosts;
+import trestleline.core.LastCheck;
+import trestleline.core.Outcome;
+import trestleline.daemon.Seams;
+import trestleline.hosts.Receipts;
+import trestleline.ledger.Outbox;
+import trestleline.ledger.store.Store;
+import trestleline.ledger.store.StoreThat;
+
+/** Flaws put into the real gateway, each the size of one wrong line; the rule at stake, 0 none, 7 the ledger's equality. */
+enum Flaw {
+    /** The gateway as it is. */
+    TRUE(0, () -> Seams.NONE),
+    /** One that gives paid attempts up early, and is right in all else: a kind of module that may come. */
+    TRUE_IMPATIENT(0, () -> Bent.module(null, Flaw::impatient)),
+
+    // ---- 1: one answer in time ----
+    TIMERS_SLOW(1, () -> Bent.timers(real -> (ms, task) -> real.after(ms < 100 ? ms : ms * 1.6, task))),
+    TIMERS_LOST(1, () -> Bent.timers(real -> {
+        int[] n = {0};
+        return (ms, task) -> {
+            if (ms < 100 || ++n[0] % 4 != 0) real.after(ms, task);
+        };
+    })),
+    DEADLINE_TOO_LONG(1, () -> Bent.allSettings(s -> Bent.terms(s, t ->
+        Bent.term(t, t.deadline() + 1200, t.effect(), t.floor(), t.seats())))),
+    LOOP_BLOCKED(1, () -> Bent.hosts(real -> new Bent.Passing(real) {
+        private int n;
+
+        @Override
+        public Flight setUp(Attempt a, Back back) {
+            if (++n % 15 == 0) block(1500);
+            return super.setUp(a, back);
+        }
+    })),
+
+    // ---- 2: no set-up twice ----
+    RESET_IS_CONNECT_ERROR(2, () -> Bent.outcomes(o -> o == Outcome.RESET_BY_PEER ? Outcome.CONNECT_ERROR : o)),
+    FAILED_IS_QUEUE_FULL(2, () -> Bent.outcomes(o -> o == Outcome.FAILED ? Outcome.QUEUE_FULL : o)),
+    TIMED_OUT_IS_CONNECT_ERROR(2, () -> Bent.module(e -> e instanceof Front.Result r && r.code().equals("TimedOut")
+        ? new Front.Result(r.req(), r.shot(), r.host(), r.waited(), r.over(), "ConnectError", r.report()) : e, Flaw::impatient)),
+    REFUSES_WHAT_MAY_HAVE_RUN(2, () -> Bent.module(null, a -> a instanceof Front.Fail f
+        ? List.of(new Front.NotNow(f.req(), 500)) : List.of(a))),
+    PAID_TAKEN_AS_SAFE(2, () -> Bent.moduleSettings(s -> Bent.terms(s, t ->
+        Bent.term(t, t.deadline(), Front.Effect.PURE, t.floor(), t.seats())))),
+    ABANDONS_WITHOUT_CLOSING(2, () -> Bent.hosts(real -> new Bent.Passing(real) {
+        @Override
+        public Flight setUp(Attempt a, Back back) {
+            boolean[] gone = {false};
+            super.setUp(a, new Bent.Telling(back) {
+                @Override
+                public void playing(Map<String, Double> report) {
+                    if (!gone[0]) super.playing(report);
+                }
+
+                @Override
+                public void over(Outcome outcome, Map<String, Double> report) {
+                    if (!gone[0]) super.over(outcome, report);
+                }
+            });
+            return () -> gone[0] = true;
+        }
+    })),
+    TWO_AT_ONCE(2, () -> Bent.hosts(client -> new Bent.Passing(client) {
+        private final Map<String, String> last = new HashMap<>();
+        private int n;
+
+        @Override
+        public Flight setUp(Attempt a, Back back) {
+            String other = last.put("host", a.host());
+            if (++n % 5 == 0 && other != null && !other.equals(a.host())) {
+                Attempt twin = Bent.renamed(a, a.id() + "9", other);
+                client.setUp(twin, new Bent.Telling(back) {
+                    @Override
+                    public Hosts.Go beforeWrite() {
+                        return Hosts.Go.WRITE;
+                    }
+
+                    @Override
+                    public void playing(Map<String, Double> report) {
+                        client.release(twin);
+                    }
+
+                    @Override
+                    public void over(Outcome outcome, Map<String, Double> report) { }
+                });
+            }
+            return super.setUp(a, back);
+        }
+    })),
+    NAMES_USED_AGAIN(2, () -> new Seams() {
+        @Override
+        public String generation(String real) {
+            return "always";
+        }
+    }),
+
+    // ---- 3: drains kept ----
+    WRITES_WHILE_LATE(3, () -> Bent.lastCheck(real -> f -> real.go(new LastCheck.Facts(f.wanted(), false, f.expired(),
+        f.listed(), f.cold(), f.waitedMs(), f.books())))),
+    WRITES_TO_WHAT_IS_NOT_LISTED(3, () -> Bent.lastCheck(real -> f -> real.go(new LastCheck.Facts(f.wanted(), f.late(),
+        f.expired(), true, f.cold(), f.waitedMs(), f.books())))),
+    LIST_HEARD_LATE(3, () -> new Seams() {
+        @Override
+        public java.util.function.Consumer<Front.Update> told(java.util.function.Consumer<Front.Update> real) {
+            return u -> io.vertx.core.Vertx.currentContext().owner().setTimer(900, t -> real.accept(u));
+        }
+    }),
+    DRAINS_NOT_UNDERSTOOD(3, () -> Bent.entries(e -> e.status().equals("Stopping") ? Bent.entry(e, "Running", e.since()) : e)),
+    GONE_NOT_UNDERSTOOD(3, () -> Bent.entries(e -> e.status().equals("Running") ? e : null)),
+
+    // ---- 4: no cold host pushed over ----
+    STARTS_NOT_UNDERSTOOD(4, () -> Bent.entries(e -> Bent.entry(e, e.status(), 0))),
+    COLD_TAKEN_AS_WARM(4, () -> Bent.moduleSettings(s -> Bent.rules(s, s.rules().extraShare(), s.rules().extraWindow(), 1, 0,
+        s.rules().overloadFactor()))),
+    BELIEVES_HOSTS_BEAR_MORE(4, () -> Bent.moduleSettings(s -> Bent.rules(s, s.rules().extraShare(), s.rules().extraWindow(),
+        s.rules().coldShare(), s.rules().cold(), 40))),
+
+    TURNS_MADE_UP_FOR(4, () -> Bent.lastCheck(real -> f -> real.go(new LastCheck.Facts(f.wanted(), f.late(), f.expired(),
+        f.listed(), f.cold(), 0, f.books())))),
+
+    // ---- 5: floors and seats ----
+    FLOOR_FORGOTTEN(5, () -> Bent.moduleSettings(s -> Bent.terms(s, t ->
+        Bent.term(t, t.deadline(), t.effect(), 0, t.seats())))),
+    ONE_RUNG_TOO_LOW(5, () -> Bent.module(null, a -> a instanceof Front.Rate r && r.rung() > 0
+        ? List.of(new Front.Rate(r.req(), r.rung() - 1)) : List.of(a))),
+    SEATS_FORGOTTEN(5, () -> Bent.moduleSettings(s -> Bent.terms(s, t ->
+        Bent.term(t, t.deadline(), t.effect(), t.floor(), 0)))),
+    SHARES_NOT_FREED(5, () -> Bent.hosts(real -> new Bent.Passing(real) {
+        @Override
+        public void release(Attempt attempt) { }
+    })),
+
+    // ---- 6: further attempts within budget ----
+    BUDGET_FORGOTTEN(6, () -> Bent.moduleSettings(s -> Bent.rules(s, s.rules().extraShare(), 0, s.rules().coldShare(),
+        s.rules().cold(), s.rules().overloadFactor()))),
+    BUDGET_OF_A_SECOND(6, () -> Bent.moduleSettings(s -> Bent.rules(s, s.rules().extraShare(), 1000, s.rules().coldShare(),
+        s.rules().cold(), s.rules().overloadFactor()))),
+    CLIENT_REPEATS_BY_ITSELF(6, () -> Bent.hosts(real -> new Bent.Passing(real) {
+        private final Set<String> seen = new HashSet<>();
+
+        @Override
+        public Flight setUp(Attempt a, Back back) {
+            seen.add(a.host());
+            return again(a, back, 0);
+        }
+
+        private Flight again(Attempt a, Back back, int n) {
+            Flight[] now = new Flight[1];
+            now[0] = real.setUp(n == 0 ? a : Bent.renamed(a, a.id() + n, a.host()), new Bent.Telling(back) {
+                @Override
+                public void over(Outcome outcome, Map<String, Double> report) {
+                    if (outcome == Outcome.QUEUE_FULL && n < 3) now[0] = again(a, back, n + 1);
+                    else super.over(outcome, report);
+                }
+            });
+            return () -> now[0].abandon();
+        }
+    })),
+
+    // ---- the ledger ----
+    INTENT_NOT_AWAITED(7, () -> new Seams() {
+        @Override
+        public Books books(Books real) {
+            return new Bent.Keeping(real) {
+                @Override
+                public Hosts.Go mayWrite(Attempt attempt) {
+                    return Hosts.Go.WRITE;
+                }
+            };
+        }
+
+        @Override
+        public Receipts receipts(Receipts real) {
+            return new Deaf(real, true); // what was lost with the intent, only a sweep would find
+        }
+    }),
+    RECEIPT_LOST(7, () -> new Seams() {
+        @Override
+        public Receipts receipts(Receipts real) {
+            return new Deaf(real, false);
+        }
+    }),
+    RAN_WRITTEN_AS_NEVER(7, () -> Bent.books(real -> new Bent.Keeping(real) {
+        @Override
+        public void over(Attempt attempt, Outcome outcome) {
+            super.over(attempt, outcome == Outcome.RESET_BY_PEER || outcome == Outcome.FAILED ? Outcome.QUEUE_FULL : outcome);
+        }
+    })),
+    CURSOR_MOVED_TOO_EARLY(7, () -> new Seams() {
+        @Override
+        public Outbox outbox(Outbox.Terms terms, long seed) {
+            return new Outbox(terms, seed) {
+                private Send out;
+
+                @Override
+                public Step next(double now) {
+                    Step s = super.next(now);
+                    if (s instanceof Send send) out = send;
+                    return s;
+                }
+
+                @Override
+                public void failed(double now) {
+                    if (out == null) super.failed(now);
+                    else acknowledged(out.generation(), out.number(), out.to(), true);
+                    out = null;
+                }
+            };
+        }
+    }),
+    SAFE_BEFORE_IT_IS_WRITTEN(7, () -> new Seams() {
+        @Override
+        public Store store(Store real) {
+            return new StoreThat(real) {
+                private List<String> held = List.of();
+
+                @Override
+                public void append(List<String> lines) throws IOException {
+                    List<String> before = held;
+                    held = new ArrayList<>(lines);
+                    super.append(before);
+                }
+            };
+        }
+
+        @Override
+        public Receipts receipts(Receipts real) {
+            return new Deaf(real, true);
+        }
+    });
+
+    final int rule;
+    final Supplier<Seams> seams;
+
+    Flaw(int rule, Supplier<Seams> seams) {
+        this.rule = rule;
+        this.seams = seams;
+    }
+
+    private static List<Front.Action> impatient(Front.Action a) {
+        return a instanceof Front.Transmit t ? List.of(new Front.Transmit(t.req(), t.host(), t.expireAt() - 700)) : List.of(a);
+    }
+
+    private static void block(long ms) {
+        try {
+            Thread.sleep(ms);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Hears nothing of what hosts could tell: of sweeps alone, or of single attempts, as if they had never run. */
+    private record Deaf(Receipts real, boolean sweepsAlone) implements Receipts {
+        @Override
+        public Set<String> known() {
+            return real.known();
+        }
+
+        @Override
+        public Future<Boolean> receipt(String host, String attempt) {
+            return sweepsAlone ? real.receipt(host, attempt) : Future.succeededFuture(false);
+        }
+
+        @Override
+        public Future<List<Receipt>> receipts(String host, String gatewayName, double after) {
+            return Future.succeededFuture(List.of());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/trestleline/ledger/store/StoreThat.java
@@ -0,0 +1,54 @@
+package trestleline.ledger.store;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.function.Consumer;
+
+/** A store that passes everything on; tests bend one method of it. */
+public class StoreThat implements Store {
+    private final Store in;
+
+    protected StoreThat(Store in) {
+        this.in = in;
+    }
+
+    @Override
+    public void append(List<String> lines) throws IOException {
+        in.append(lines);
+    }
+
+    @Override
+    public long size() {
+        return in.size();
+    }
+
+    @Override
+    public void scan(Consumer<String> line) throws IOException {
+        in.scan(line);
+    }
+
+    @Override
+    public List<String> range(String generation, long from, long to) throws IOException {
+        return in.range(generation, from, to);
+    }
+
+    @Override
+    public long next(String generation) {
+        return in.next(generation);
+    }
+
+    @Override
+    public List<String> generations() {
+        return in.generations();
+    }
+
+    @Override
+    public void abandon() {
+        in.abandon();
+    }
+
+    @Override
+    public void close() throws IOException {
+        in.close();
+    }
+}
