Players on pages of other origins: CORS, preflight, HEAD; unknown sub-commands end with 2

A stock browser player on a page of another origin could read nothing: answers carried no CORS headers and OPTIONS was 405.

listen.origins (* by default) lets origins in, errors included; a preflight and a HEAD take no request; a Range is answered by the whole segment and Accept-Ranges says so.

Whole-path test with preflight, HEAD, playlist, segment and an error: green.

--- a/src/main/java/trestleline/cli/Main.java
+++ b/src/main/java/trestleline/cli/Main.java
@@ -30,7 +30,17 @@
     }
 
     private static int run(String... args) {
-        return line().execute(args);
+        return execute(line(), args);
+    }
+
+    /** Runs it; a word that is no sub-command is wrong use, also where help is asked for behind it. */
+    static int execute(CommandLine line, String... args) {
+        if (args.length > 0 && !args[0].startsWith("-") && !line.getSubcommands().containsKey(args[0])) {
+            line.getErr().println("trestleline: no sub-command '" + args[0] + "'; expected one of "
+                + String.join(", ", line.getSubcommands().keySet()));
+            return 2;
+        }
+        return line.execute(args);
     }
 
     /** The command line as it is run. */
--- a/src/main/java/trestleline/config/GatewayConfig.java
+++ b/src/main/java/trestleline/config/GatewayConfig.java
@@ -21,7 +21,7 @@
     private static final double INF = Double.POSITIVE_INFINITY;
 
     /** Where viewers are served; port 0 lets the system choose. */
-    public record Listen(String host, int port) { }
+    public record Listen(String host, int port, List<String> origins) { }
 
     /** Where the list of hosts comes from, and the file that keeps the last one; {@code saved} empty: none is kept. */
     public record Source(String url, String saved, double retryFrom, double retryTo) { }
@@ -60,7 +60,7 @@
     public static GatewayConfig read(Reader r) {
         Front.Settings settings = settings(r);
         Reader li = r.object("listen");
-        var listen = new Listen(loopback(li, "host", "127.0.0.1"), li.whole("port", 0, 65535, 0));
+        var listen = new Listen(loopback(li, "host", "127.0.0.1"), li.whole("port", 0, 65535, 0), origins(li));
         Reader l = r.object("list");
         var list = new Source(l.text("url", "http://(127\\.0\\.0\\.1|localhost):\\d{1,5}/\\S*",
             "an address like http://127.0.0.1:9000/hosts"), l.text("saved", ".+", "a file", ""),
@@ -90,6 +90,17 @@
             l.whole("budget", 1, 1_000_000, 600), l.num("windowMs", 1, INF, 60_000));
     }
 
+    /** Origins of pages whose players may read the answers: as browsers send them, or {@code *}. */
+    private static List<String> origins(Reader li) {
+        List<String> all = li.texts("origins", List.of("*"));
+        for (String o : all) {
+            if (!o.equals("*") && !o.matches("https?://[^/ ,]{1,253}")) {
+                li.error("origins", "holds '" + o + "'; expected \"*\" or an origin such as http://localhost:8000");
+            }
+        }
+        return all;
+    }
+
     /** An address on the loopback interface: nothing here serves beyond this machine. */
     static String loopback(Reader r, String field, String absent) {
         return r.text(field, "127\\.\\d{1,3}\\.\\d{1,3}\\.\\d{1,3}|localhost", "a loopback address", absent);
--- a/src/main/java/trestleline/http/HttpFront.java
+++ b/src/main/java/trestleline/http/HttpFront.java
@@ -48,6 +48,7 @@
     private final Asks asks;
     private final Silence silence;
     private final Connections connections;
+    private final Cors cors;
     private final String name;
     private final SecureRandom random = new SecureRandom();
     private final Map<String, Waiting> waiting = new HashMap<>();
@@ -158,6 +159,7 @@
         asks = new Asks(config.settings());
         silence = new Silence(config.limits().bufferMs(), config.media().segmentS() * 1000);
         connections = new Connections(vertx, config.limits());
+        cors = new Cors(config.listen().origins());
         name = "trestleline-" + config.settings().me();
     }
 
@@ -211,18 +213,44 @@
             plain(response, 400, "malformed");
             return;
         }
+        cors.mark(request, response);
+        if (request.method() == HttpMethod.OPTIONS) {
+            cors.preflight(request, response);
+            return;
+        }
         Request r = Request.of(request.path());
         if (r == null) {
             if (request.path() != null && request.path().equals("/-/status")) status(response);
             else nothing(response, "no such path");
+        } else if (request.method() == HttpMethod.HEAD) {
+            head(response, r);
         } else if (request.method() != HttpMethod.GET) {
             badRequests++;
-            response.putHeader("Allow", "GET");
+            response.putHeader("Allow", "GET, HEAD, OPTIONS");
             plain(response, 405, "only GET");
         } else if (r.playlist()) session(request, r);
         else segment(request, r);
     }
 
+    /** What a {@code GET} would find, without its effects: a {@code HEAD} of a playlist asks for no session. */
+    private void head(HttpServerResponse response, Request r) {
+        Playing p = r.playlist() ? null : byToken.get(r.token());
+        boolean found = r.playlist() ? known(r) : p != null && p.session.open() && within(p, r);
+        response.setStatusCode(found ? 200 : r.playlist() ? 404 : 410).putHeader("Cache-Control", "no-store");
+        if (found) response.putHeader("Content-Type", r.playlist() ? M3U8 : AAC);
+        response.end();
+    }
+
+    private boolean known(Request r) {
+        return config.titles().containsKey(r.title()) && asks.terms(r.service()) != null
+            && config.settings().accounts().stream().anyMatch(a -> a.name().equals(r.tenant()));
+    }
+
+    private boolean within(Playing p, Request r) {
+        return p.title.name().equals(r.title())
+            && r.segment() < Playlist.segments(p.title.seconds(), config.media().segmentS());
+    }
+
     private void nothing(HttpServerResponse response, String what) {
         badRequests++;
         plain(response, 404, what);
@@ -248,8 +276,7 @@
     private void session(HttpServerRequest request, Request r) {
         HttpServerResponse response = request.response();
         GatewayConfig.Title title = config.titles().get(r.title());
-        boolean tenant = config.settings().accounts().stream().anyMatch(a -> a.name().equals(r.tenant()));
-        if (title == null || !tenant || asks.terms(r.service()) == null) {
+        if (!known(r)) {
             nothing(response, "no such tenant, class or title");
             return;
         }
@@ -308,7 +335,7 @@
             return;
         }
         int count = Playlist.segments(p.title.seconds(), config.media().segmentS());
-        if (!p.title.name().equals(r.title()) || r.segment() >= count) {
+        if (!within(p, r)) {
             nothing(response, "no such segment");
             return;
         }
@@ -357,6 +384,8 @@
             if (length != null) to.putHeader("Content-Length", length);
             else to.setChunked(true);
             if (fixed != null) to.putHeader(Cmsd.STATIC, fixed);
+            // a part of a segment is not served: the whole is a right answer to a Range (RFC 9110, section 14.2)
+            to.putHeader("Accept-Ranges", "none");
             to.putHeader("Content-Type", AAC).putHeader("Cache-Control", "no-store")
                 .putHeader(Cmsd.DYNAMIC, Cmsd.append(before, name, entry(p.session, moved - asked)));
             from.handler(bytes -> {
--- a/src/test/java/trestleline/path/WholePathTest.java
+++ b/src/test/java/trestleline/path/WholePathTest.java
@@ -6,6 +6,7 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -376,4 +377,34 @@
             }
         }
     }
+
+    @Test
+    void aPlayerOnAPageOfAnotherOriginMayReadEveryAnswer() throws Exception {
+        try (Town town = new Town(1, dir)) {
+            String path = "/bwyd-cyflym/zone-guide/short/index.m3u8", origin = "http://localhost:8000";
+            HttpRequest.Builder asked = HttpRequest.newBuilder(java.net.URI.create("http://127.0.0.1:" + town.ports.get(0) + path))
+                .header("Origin", origin);
+            HttpResponse<byte[]> before = town.client.send(asked.copy().method("OPTIONS", HttpRequest.BodyPublishers.noBody())
+                .header("Access-Control-Request-Method", "GET").header("Access-Control-Request-Headers", "cmcd-session").build(),
+                HttpResponse.BodyHandlers.ofByteArray());
+            assertEquals(204, before.statusCode());
+            assertTrue(before.headers().firstValue("Access-Control-Allow-Headers").orElse("").contains("CMCD-Session"));
+            assertTrue(before.headers().firstValue("Access-Control-Max-Age").isPresent());
+            HttpResponse<byte[]> head = town.client.send(asked.copy().method("HEAD", HttpRequest.BodyPublishers.noBody()).build(),
+                HttpResponse.BodyHandlers.ofByteArray());
+            assertEquals(200, head.statusCode());
+            assertEquals(0, Town.get(town.gateways.get(0).counts()).asked(), "neither asked for a session");
+            HttpResponse<byte[]> list = town.client.send(asked.copy().GET().build(), HttpResponse.BodyHandlers.ofByteArray());
+            assertEquals(200, list.statusCode());
+            assertEquals("*", list.headers().firstValue("Access-Control-Allow-Origin").orElse(""));
+            assertTrue(list.headers().firstValue("Access-Control-Expose-Headers").orElse("").contains("CMSD-Dynamic"));
+            HttpResponse<byte[]> part = town.fetch(0, path.replace("index.m3u8", Town.segments(list).get(0)), "Range", "bytes=0-9",
+                "Origin", origin);
+            assertEquals(200, part.statusCode(), "a range is answered by the whole");
+            assertEquals("none", part.headers().firstValue("Accept-Ranges").orElse(""));
+            HttpResponse<byte[]> none = town.fetch(0, "/bwyd-cyflym/zone-guide/no-title/index.m3u8", "Origin", origin);
+            assertEquals(404, none.statusCode());
+            assertEquals("*", none.headers().firstValue("Access-Control-Allow-Origin").orElse(""), "errors can be read too");
+        }
+    }
 }
