Ledgers whose end is cut off are named: signed heads beside the entries, with billing, in exports

An export that lost its last three entries whole, and an empty one, passed reconcile with no finding: a chain of seals can't see its own end.

Head is a signed word of how far a generation reached: stored at each period's close and orderly end, last line of every batch, last lines of an export; the start of the next generation anchors the one before it too. A file without an entry or head is wrong use, exit 2.

--- a/src/main/java/trestleline/billing/LedgerKeeper.java
+++ b/src/main/java/trestleline/billing/LedgerKeeper.java
@@ -29,6 +29,7 @@
 import trestleline.hosts.Receipts;
 import trestleline.ledger.Clerk;
 import trestleline.ledger.Entry;
+import trestleline.ledger.Head;
 import trestleline.ledger.Keys;
 import trestleline.ledger.Outbox;
 import trestleline.ledger.Sealed;
@@ -178,12 +179,25 @@
         if (stopped) return;
         double now = clock.getAsDouble();
         for (Clerk.Paid p : clerk.ask(now)) ask(p);
-        for (Entry close = clerk.close(now); close != null; close = clerk.close(now)) put(close);
+        boolean closed = false;
+        for (Entry close = clerk.close(now); close != null; close = clerk.close(now)) {
+            put(close);
+            closed = true;
+        }
+        if (closed) writer.on(this::anchor);
         sweep();
         export();
         vertx.setTimer(TURN, t -> turn());
     }
 
+    /** Signs how far this generation is stored, beside its entries. On the store's thread. */
+    private Void anchor(Store store) throws IOException {
+        String g = settings.generation();
+        long next = store.next(g);
+        if (next > 0) store.anchor(g, Head.of(Sealed.parse(store.range(g, next - 1, next).get(0))).line(keys));
+        return null;
+    }
+
     /** Asks the host of an attempt of unknown end whether it ran. Asked so, a host that does not know it never runs it. */
     private void ask(Clerk.Paid p) {
         hosts.receipt(p.host(), p.attempt()).onSuccess(ran -> {
@@ -337,7 +351,10 @@
             }
             String path = "/batches?gateway=" + settings.gateway() + "&generation=" + s.generation() + "&number="
                 + s.number() + "&from=" + s.from();
-            call(HttpMethod.POST, path, Buffer.buffer(String.join("\n", lines) + "\n")).onComplete(got -> {
+            // a head goes with every batch: billing then knows this end, whatever becomes of the file here
+            List<String> all = new java.util.ArrayList<>(lines);
+            all.add(Head.of(Sealed.parse(lines.get(lines.size() - 1))).line(keys));
+            call(HttpMethod.POST, path, Buffer.buffer(String.join("\n", all) + "\n")).onComplete(got -> {
                 if (stopped) return;
                 if (got.failed()) {
                     failed(got.cause());
@@ -372,7 +389,7 @@
         stopped = true;
         client.close();
         Promise<Void> p = Promise.promise();
-        writer.close().whenComplete((x, e) -> loop.runOnContext(v -> p.complete()));
+        writer.close(this::anchor).whenComplete((x, e) -> loop.runOnContext(v -> p.complete()));
         return p.future();
     }
 
--- a/src/main/java/trestleline/cli/LedgerCommand.java
+++ b/src/main/java/trestleline/cli/LedgerCommand.java
@@ -20,6 +20,7 @@
 import picocli.CommandLine.Spec;
 import trestleline.config.ConfigException;
 import trestleline.ledger.Entry;
+import trestleline.ledger.Head;
 import trestleline.ledger.Keys;
 import trestleline.ledger.Reconciliation;
 import trestleline.ledger.Sealed;
@@ -29,6 +30,7 @@
 @Command(name = "ledger", mixinStandardHelpOptions = true, description = "Reads, checks, exports, corrects and reconciles "
     + "ledgers. A ledger that a gateway has open is locked: use its exports, or a copy.")
 final class LedgerCommand implements Runnable {
+    private static final String OPEN = "--open-end", OPEN_TEXT = "an end that no head reaches is no finding";
     @Spec
     private CommandSpec spec;
 
@@ -54,10 +56,16 @@
         List<String> all = new ArrayList<>();
         try (var store = new MvStoreLedger(file)) {
             store.scan(all::add);
+            all.addAll(store.anchors());
         }
         return all;
     }
 
+    /** Its entries alone, without the heads beside them. */
+    private static List<String> entries(Path file) throws IOException {
+        return lines(file).stream().filter(l -> !Head.looksLike(l)).toList();
+    }
+
     private static Entry entry(String line) {
         return Entry.decode(Sealed.parse(line).text());
     }
@@ -67,7 +75,7 @@
              @Option(names = "--attempt", paramLabel = "ID", description = "only those about one attempt") String attempt)
         throws IOException {
         if (!json) out().println("place kind period amount tenant class attempt corrects note");
-        for (String line : lines(file)) {
+        for (String line : entries(file)) {
             Entry e = entry(line);
             if (attempt != null && !attempt.equals(e.attempt())) continue;
             out().println(json ? Sealed.parse(line).text() : String.format(Locale.ROOT, "%s %s %d %d %s %s %s %s %s", e.place(),
@@ -82,21 +90,36 @@
     }
 
     @Command(name = "verify", mixinStandardHelpOptions = true,
-        description = "Checks every seal; names what was cut, changed, swapped or removed. Exit 1 when anything was.")
-    int verify(@Parameters(paramLabel = "LEDGER") Path file, @Option(names = "--keys", required = true) Path keys)
+        description = "Checks every seal, and the end against heads; names what was cut, changed, swapped or removed. Exit 1 "
+            + "when anything was, or when no head reaches an end.")
+    int verify(@Parameters(paramLabel = "LEDGER") Path file, @Option(names = "--keys", required = true) Path keys,
+               @Option(names = "--heads", paramLabel = "FILE", arity = "1..*", description = "heads kept elsewhere, as billing "
+                   + "gives them, or other exports") List<Path> heads, @Option(names = OPEN, description = OPEN_TEXT) boolean open)
         throws IOException {
-        List<String> lines = lines(file);
-        List<Sealed.Fault> faults = Sealed.verify(keys(keys), lines);
-        for (Sealed.Fault f : faults) out().println(f.place() + ": " + f.what());
-        out().println(lines.size() + " entries, " + faults.size() + " faults");
-        return faults.isEmpty() ? 0 : 1;
+        Map<String, List<String>> all = new LinkedHashMap<>();
+        all.put(file.toString(), lines(file));
+        if (all.get(file.toString()).isEmpty()) throw new ConfigException(file.toString(), List.of("holds no ledger entry"));
+        for (Path h : heads == null ? List.<Path>of() : heads) {
+            all.put(h.toString(), exported(h).stream().filter(Head::looksLike).toList());
+        }
+        return findings(Reconciliation.of(keys(keys), all), false, open);
     }
 
-    @Command(name = "export", mixinStandardHelpOptions = true, description = "Writes all sealed lines to a file.")
-    int export(@Parameters(paramLabel = "LEDGER") Path file, @Parameters(paramLabel = "FILE") Path to) throws IOException {
-        List<String> lines = lines(file);
-        Files.write(to, lines);
-        out().println(lines.size() + " entries written to " + to);
+    @Command(name = "export", mixinStandardHelpOptions = true, description = "Writes all sealed lines to a file, and a signed head "
+        + "for the end of each generation.")
+    int export(@Parameters(paramLabel = "LEDGER") Path file, @Parameters(paramLabel = "FILE") Path to,
+               @Option(names = "--keys", required = true) Path keys) throws IOException {
+        Keys k = keys(keys);
+        List<String> lines = lines(file), all = new ArrayList<>(lines);
+        Map<String, Head> heads = new LinkedHashMap<>();
+        for (String line : lines) {
+            if (Head.looksLike(line)) continue;
+            Head h = Head.of(Sealed.parse(line));
+            heads.put(h.chain(), h);
+        }
+        heads.values().forEach(h -> all.add(h.line(k)));
+        Files.write(to, all);
+        out().println(lines.stream().filter(l -> !Head.looksLike(l)).count() + " entries written to " + to);
         return 0;
     }
 
@@ -104,7 +127,7 @@
     int periods(@Parameters(paramLabel = "LEDGER") Path file, @Option(names = "--json") boolean json) throws IOException {
         Map<Long, Totals> byPeriod = new java.util.TreeMap<>();
         Map<Long, String> closed = new LinkedHashMap<>();
-        for (String line : lines(file)) {
+        for (String line : entries(file)) {
             Entry e = entry(line);
             if (e.kind() == Entry.Kind.CLOSE) closed.put(e.period(), e.place());
             else byPeriod.computeIfAbsent(e.period(), p -> new Totals()).take(e);
@@ -126,7 +149,7 @@
                 @Option(names = "--reason", required = true) String reason) throws IOException {
         Keys k = keys(keys);
         if (Math.abs(amount) != 1) throw new ConfigException("--amount", List.of("is " + amount + "; expected 1 or -1"));
-        List<String> lines = lines(file);
+        List<String> lines = entries(file);
         Entry of = lines.stream().map(LedgerCommand::entry).filter(e -> e.place().equals(place)).findFirst()
             .orElseThrow(() -> new ConfigException(file.toString(), List.of("has no entry " + place)));
         if (of.attempt().isEmpty()) throw new ConfigException(file.toString(), List.of(place + " is about no attempt"));
@@ -142,22 +165,36 @@
             of.service(), of.title(), of.viewer(), of.host(), Math.max(of.period(), closed + 1), of.eventAt(), amount,
             "by hand: " + reason);
         try (var store = new MvStoreLedger(file)) {
-            store.append(List.of(first.line(), Sealed.seal(k, first.mac(), correction).line()));
+            Sealed second = Sealed.seal(k, first.mac(), correction);
+            store.append(List.of(first.line(), second.line()));
+            store.anchor(generation, Head.of(second).line(k));
         }
         out().println("added " + correction.place());
         return 0;
     }
 
     @Command(name = "reconcile", mixinStandardHelpOptions = true, description = "Sets exported ledgers against each other; "
-        + "names gaps, forks, doubles and stale copies. Exit 1 when there are any.")
+        + "names gaps, forks, doubles, stale copies and ends that no head reaches. Exit 1 when there are any.")
     int reconcile(@Parameters(paramLabel = "FILES", arity = "1..*") List<Path> files,
-                  @Option(names = "--keys", required = true) Path keys, @Option(names = "--json") boolean json) throws IOException {
+                  @Option(names = "--keys", required = true) Path keys, @Option(names = "--json") boolean json,
+                  @Option(names = OPEN, description = OPEN_TEXT) boolean open) throws IOException {
         Map<String, List<String>> all = new LinkedHashMap<>();
-        for (Path f : files) {
-            if (!Files.isRegularFile(f)) throw new ConfigException(f.toString(), List.of("is no file"));
-            all.put(f.toString(), Files.readAllLines(f));
-        }
-        Reconciliation.Result r = Reconciliation.of(keys(keys), all);
+        for (Path f : files) all.put(f.toString(), exported(f));
+        return findings(Reconciliation.of(keys(keys), all), json, open);
+    }
+
+    /** Lines of an exported ledger or of heads; a file that holds neither is wrong use, not a clean ledger. */
+    private static List<String> exported(Path f) throws IOException {
+        if (!Files.isRegularFile(f)) throw new ConfigException(f.toString(), List.of("is no file"));
+        List<String> lines = Files.readAllLines(f, java.nio.charset.StandardCharsets.ISO_8859_1);
+        boolean any = lines.stream().anyMatch(l -> Head.looksLike(l) || l.matches("\\S+ [0-9a-f]{64} \\{.*"));
+        if (!any) throw new ConfigException(f.toString(), List.of("holds no ledger entry and no head"));
+        return Files.readAllLines(f);
+    }
+
+    private int findings(Reconciliation.Result all, boolean json, boolean open) {
+        var r = new Reconciliation.Result(all.findings().stream().filter(f -> !open || !f.kind().equals("open")).toList(),
+            all.totals(), all.entries());
         if (json) {
             ObjectNode n = new ObjectMapper().createObjectNode().put("entries", r.entries());
             n.putPOJO("starts", r.totals().byTenantAndClass());
--- /dev/null
+++ b/src/main/java/trestleline/ledger/Anchors.java
@@ -0,0 +1,61 @@
+package trestleline.ledger;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Compares chains with the heads that were seen of them, wherever: what a head proves to have existed and is not here is a
+ * gap; an entry under a head's place with another seal is a fork; an end that no head and no later generation reaches is
+ * open: nothing can prove that more did not follow. Free of I/O.
+ */
+final class Anchors {
+    private record Anchor(long seq, String seal, String from) { }
+
+    private final Map<String, List<Anchor>> seen = new TreeMap<>();
+
+    /** A head, and where it was seen. */
+    void head(Head h, String from) {
+        add(h.chain(), new Anchor(h.seq(), h.seal(), "a head in " + from));
+    }
+
+    /** The start of a generation names the end of the one before it. */
+    void start(Entry start) {
+        String[] part = start.note().split(":");
+        if (part.length == 3 && part[1].matches("\\d{1,18}")) {
+            add(start.gateway() + "/" + part[0], new Anchor(Long.parseLong(part[1]), part[2], "the start of " + start.generation()));
+        }
+    }
+
+    private void add(String chain, Anchor a) {
+        seen.computeIfAbsent(chain, c -> new ArrayList<>()).add(a);
+    }
+
+    /** What the heads say of chains: entries by sequence, for each {@code GATEWAY/GENERATION}. */
+    List<Reconciliation.Finding> against(Map<String, TreeMap<Long, Sealed>> chains) {
+        List<Reconciliation.Finding> found = new ArrayList<>();
+        seen.forEach((chain, anchors) -> {
+            TreeMap<Long, Sealed> held = chains.getOrDefault(chain, new TreeMap<>());
+            for (Anchor a : anchors) {
+                Sealed at = held.get(a.seq());
+                if (at != null && !at.mac().equals(a.seal())) {
+                    found.add(new Reconciliation.Finding("fork", chain + ":" + a.seq(), a.from() + " knows another history"));
+                }
+            }
+            Anchor newest = anchors.stream().max(java.util.Comparator.comparingLong(Anchor::seq)).orElseThrow();
+            long last = held.isEmpty() ? -1 : held.lastKey();
+            if (newest.seq() > last) {
+                found.add(new Reconciliation.Finding("gap", chain + ":" + (last + 1), "missing up to " + newest.seq()
+                    + ", which " + newest.from() + " proves to have existed"));
+            }
+        });
+        chains.forEach((chain, held) -> {
+            long anchored = seen.getOrDefault(chain, List.of()).stream().mapToLong(Anchor::seq).max().orElse(-1);
+            if (anchored < held.lastKey()) {
+                found.add(new Reconciliation.Finding("open", chain + ":" + held.lastKey(), "end not anchored: no head reaches it"));
+            }
+        });
+        return found;
+    }
+}
--- a/src/main/java/trestleline/ledger/Reconciliation.java
+++ b/src/main/java/trestleline/ledger/Reconciliation.java
@@ -10,7 +10,7 @@
  * I/O.
  */
 public final class Reconciliation {
-    /** What was found. {@code kind}: {@code gap}, {@code fork}, {@code double}, {@code stale}, {@code fault}. */
+    /** What was found. {@code kind}: {@code gap}, {@code fork}, {@code double}, {@code stale}, {@code fault}, {@code open}. */
     public record Finding(String kind, String place, String what) { }
 
     /** All findings, and what the ledgers together come to. */
@@ -23,12 +23,21 @@
         List<Finding> findings = new ArrayList<>();
         Map<String, TreeMap<Long, Sealed>> chains = new TreeMap<>();
         Map<String, Map<String, Long>> reach = new TreeMap<>();
+        var anchors = new Anchors();
         files.forEach((name, lines) -> {
             for (Sealed.Fault f : Sealed.verify(keys, lines)) {
                 boolean gap = f.what().startsWith("missing");
                 findings.add(new Finding(gap ? "gap" : "fault", name + " " + f.place(), f.what()));
             }
             for (String line : lines) {
+                if (Head.looksLike(line)) {
+                    try {
+                        anchors.head(Head.read(keys, line), name);
+                    } catch (IllegalArgumentException x) {
+                        findings.add(new Finding("fault", name, x.getMessage()));
+                    }
+                    continue;
+                }
                 Sealed s;
                 Entry e;
                 try {
@@ -58,9 +67,13 @@
                 Entry e = Entry.decode(s.text());
                 entries++;
                 totals.take(e);
-                if (e.kind() == Entry.Kind.START) follows(c.getKey(), e, chains, findings);
+                if (e.kind() == Entry.Kind.START) {
+                    follows(c.getKey(), e, chains, findings);
+                    anchors.start(e);
+                }
             }
         }
+        findings.addAll(anchors.against(chains));
         for (String d : totals.doubles()) findings.add(new Finding("double", d, "an attempt already counted; counts once"));
         return new Result(findings, totals, entries);
     }
@@ -71,16 +84,9 @@
         if (part.length != 3) return;
         TreeMap<Long, Sealed> before = chains.get(start.gateway() + "/" + part[0]);
         long seq = Long.parseLong(part[1]);
-        if (before == null || before.lastKey() < seq) {
-            findings.add(new Finding("gap", start.gateway() + "/" + part[0], chain + " follows its entry " + seq
-                + ", which no ledger here holds"));
-        } else if (before.lastKey() > seq) {
+        if (before != null && before.lastKey() > seq) {
             findings.add(new Finding("stale", chain, "was started from a copy of " + part[0] + " that ended at " + seq
                 + ", which went on to " + before.lastKey()));
         }
-        Sealed at = before == null ? null : before.get(seq);
-        if (at != null && !at.mac().equals(part[2])) {
-            findings.add(new Finding("fork", chain, "follows another history of " + part[0] + " than is held here"));
-        }
     }
 }
--- a/src/main/java/trestleline/ledger/Sealed.java
+++ b/src/main/java/trestleline/ledger/Sealed.java
@@ -41,6 +41,7 @@
         int n = 0;
         for (String line : lines) {
             n++;
+            if (Head.looksLike(line)) continue; // not of the chain: see Anchors
             Sealed s;
             Entry e;
             try {
--- a/src/main/java/trestleline/ledger/store/MvStoreLedger.java
+++ b/src/main/java/trestleline/ledger/store/MvStoreLedger.java
@@ -22,6 +22,7 @@
 public final class MvStoreLedger implements Store {
     private final MVStore store;
     private final MVMap<Long, String> lines;
+    private final MVMap<String, String> heads;
     private final Map<String, List<long[]>> places = new LinkedHashMap<>();
     private final Map<String, Long> next = new LinkedHashMap<>();
     private long end;
@@ -34,6 +35,7 @@
             store = new MVStore.Builder().fileName(file.toString()).autoCommitDisabled().cacheSize(8).open();
             store.setVersionsToKeep(0);
             lines = store.openMap("lines");
+            heads = store.openMap("heads");
         } catch (MVStoreException e) {
             throw new IOException(file + ": " + e.getMessage(), e);
         }
@@ -103,6 +105,22 @@
         return List.copyOf(places.keySet());
     }
 
+    @Override
+    public void anchor(String generation, String head) throws IOException {
+        try {
+            heads.put(generation, head);
+            store.commit();
+            store.sync();
+        } catch (MVStoreException e) {
+            throw new IOException(e.getMessage(), e);
+        }
+    }
+
+    @Override
+    public List<String> anchors() {
+        return List.copyOf(heads.values());
+    }
+
     @Override
     public void abandon() {
         store.closeImmediately();
--- a/src/main/java/trestleline/ledger/store/Store.java
+++ b/src/main/java/trestleline/ledger/store/Store.java
@@ -24,6 +24,12 @@
     /** Generations in the order of their starts. */
     List<String> generations();
 
+    /** Keeps a generation's newest {@link trestleline.ledger.Head} beside the entries; when it returns it survives any crash. */
+    void anchor(String generation, String head) throws IOException;
+
+    /** The heads kept, one a generation at most. */
+    List<String> anchors();
+
     /** Lets go of the file as a crash would: what was not yet safe is not made so. */
     void abandon();
 
--- a/src/main/java/trestleline/ledger/store/Writer.java
+++ b/src/main/java/trestleline/ledger/store/Writer.java
@@ -106,8 +106,8 @@
         return done;
     }
 
-    /** Writes what waits, as far as that succeeds at once, and closes the store. */
-    public CompletableFuture<Void> close() {
+    /** Writes what waits, as far as that succeeds at once, runs a last job, and closes the store. */
+    public CompletableFuture<Void> close(Job<?> last) {
         var done = new CompletableFuture<Void>();
         thread.execute(() -> {
             try {
@@ -116,6 +116,7 @@
                     left = List.copyOf(waiting);
                 }
                 if (!left.isEmpty()) store.append(left);
+                last.run(store);
                 store.close();
                 done.complete(null);
             } catch (IOException e) {
--- a/src/main/java/trestleline/standin/BillingDesk.java
+++ b/src/main/java/trestleline/standin/BillingDesk.java
@@ -16,6 +16,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import trestleline.ledger.Entry;
+import trestleline.ledger.Head;
 import trestleline.ledger.Sealed;
 import trestleline.ledger.Totals;
 
@@ -28,6 +29,7 @@
     private final SplittableRandom random;
     /** Durable: lines by gateway and generation. */
     private final Map<String, Map<String, List<String>>> held = new LinkedHashMap<>();
+    private final Map<String, String> heads = new LinkedHashMap<>();
     private final Set<HttpConnection> connections = new HashSet<>();
     private HttpServer server;
     private int port;
@@ -69,6 +71,8 @@
         String gateway = String.valueOf(request.getParam("gateway"));
         if (request.path().equals("/cursor")) {
             if (!spoil(request, response)) response.end(cursor(gateway).encode());
+        } else if (request.path().equals("/heads")) {
+            response.end(String.join("\n", heads(gateway)) + "\n");
         } else if (request.path().equals("/batches")) {
             request.body().onSuccess(b -> batch(request, gateway, b.toString().split("\n")));
         } else {
@@ -94,7 +98,8 @@
         return true;
     }
 
-    private void batch(HttpServerRequest request, String gateway, String[] lines) {
+    private void batch(HttpServerRequest request, String gateway, String[] sent) {
+        String[] lines = java.util.Arrays.stream(sent).filter(l -> !Head.looksLike(l)).toArray(String[]::new);
         HttpServerResponse response = request.response();
         String generation = request.getParam("generation");
         long from, number;
@@ -116,6 +121,9 @@
         if (how == 1) return; // hangs, nothing taken
         int upTo = how == 2 ? random.nextInt(lines.length + 1) : lines.length; // dies half way through
         String problem = take(gateway, generation, from, lines, upTo);
+        if (problem == null && upTo == lines.length) {
+            for (String l : sent) if (Head.looksLike(l)) heads.put(gateway + "/" + generation, l);
+        }
         List<String> chain = held.getOrDefault(gateway, Map.of()).getOrDefault(generation, List.of());
         if (how == 2 || how == 3) { // the acknowledgement is lost
             request.connection().close();
@@ -155,6 +163,15 @@
         return null;
     }
 
+    /** The newest head received of each generation of a gateway, as it was signed. */
+    public List<String> heads(String gateway) {
+        List<String> all = new ArrayList<>();
+        heads.forEach((chain, head) -> {
+            if (chain.startsWith(gateway + "/")) all.add(head);
+        });
+        return all;
+    }
+
     /** All lines held of a gateway, generation by generation. */
     public List<String> lines(String gateway) {
         List<String> all = new ArrayList<>();
--- a/src/test/java/trestleline/ledger/store/StoreThat.java
+++ b/src/test/java/trestleline/ledger/store/StoreThat.java
@@ -42,6 +42,16 @@
         return in.generations();
     }
 
+    @Override
+    public void anchor(String generation, String head) throws IOException {
+        in.anchor(generation, head);
+    }
+
+    @Override
+    public List<String> anchors() {
+        return in.anchors();
+    }
+
     @Override
     public void abandon() {
         in.abandon();
--- a/src/test/java/trestleline/path/LedgerPathTest.java
+++ b/src/test/java/trestleline/path/LedgerPathTest.java
@@ -24,6 +24,7 @@
 import trestleline.ledger.Clerk;
 import trestleline.ledger.Keys;
 import trestleline.ledger.Outbox;
+import trestleline.ledger.Reconciliation;
 import trestleline.ledger.Sealed;
 import trestleline.ledger.store.FaultyStore;
 import trestleline.ledger.store.MvStoreLedger;
@@ -213,6 +214,11 @@
             assertEquals(Map.of("bwyd-cyflym", 12L), desk.totals().byTenant());
             assertEquals(List.of(), desk.totals().doubles());
             assertEquals(List.of(), Sealed.verify(Keys.read(KEYS), desk.lines("0")));
+            Town.until("billing holds a signed head of the very end", () -> {
+                List<String> held = new ArrayList<>(desk.lines("0"));
+                held.addAll(desk.heads("0"));
+                return Reconciliation.of(Keys.read(KEYS), Map.of("desk", held)).findings().isEmpty();
+            });
             assertTrue(cutter.allowed > 600, "it was cut again and again: " + cutter.allowed);
         } finally {
             Town.get(vertx.close());
