A start reads keys and ledger on a worker, not on the event loop

The ledger's file and keys were opened on the gateway's loop before it served: a slow disk held up everything that waits there.

Ledgers.open runs on a worker and hands both to the loop, where the keeper is made; a gateway killed meanwhile lets go of the file.

Ledger, whole-path and command-line tests pass.

--- a/src/main/java/trestleline/daemon/GatewayNode.java
+++ b/src/main/java/trestleline/daemon/GatewayNode.java
@@ -45,6 +45,7 @@
     private HttpFront front;
     private ListClient list;
     private LedgerKeeper ledger;
+    private boolean killed;
 
     public GatewayNode(GatewayConfig config) {
         this(config, MvStoreLedger::new, Seams.NONE);
@@ -77,26 +78,17 @@
         String generation = seams.generation(Long.toString(System.currentTimeMillis(), 36));
         Front.Settings settings = seams.settings(config.settings());
         LOG.atInfo().addKeyValue("gateway", config.settings().me()).addKeyValue("seed", seed).log("starting");
-        loop.runOnContext(v -> {
-            var clock = new WallClock();
-            Timers timers = seams.timers((ms, task) -> vertx.setTimer(Math.max(1, (long) Math.ceil(ms)), t -> task.run()));
-            hosts = new HostClient(vertx, settings, config.media().silentMs(), clock);
-            list = new ListClient(vertx, config, hosts, seams.told(u -> gateway.update(u)), random.nextLong());
-            Books books = Books.NONE;
-            if (config.ledger().kept()) {
-                try {
-                    ledger = Ledgers.open(vertx, config, opener, seams, generation, hosts, clock, random.nextLong());
-                } catch (IOException | IllegalArgumentException e) {
-                    port.fail(e);
-                    return;
-                }
-                books = ledger;
+        loop.runOnContext(v -> vertx.executeBlocking(this::openLedger).onComplete(opened -> {
+            if (opened.failed()) {
+                port.fail(opened.cause());
+                return;
             }
-            gateway = new Gateway(settings, seams.module(settings, seed, clock.getAsDouble()),
-                seams.lastCheck(LastCheck.RULES), generation, config.limits().marginMs(), clock, timers,
-                seams.hosts(hosts), list, seams.books(books));
-            hosts.attach(gateway);
-            front = new HttpFront(vertx, config, gateway, hosts, clock);
+            if (killed) { // meanwhile: the file is not to stay locked by a dead gateway
+                if (opened.result() != null) opened.result().store().abandon();
+                port.fail("killed while it started");
+                return;
+            }
+            join(settings, seed, generation, opened.result(), random);
             record Left(Listed.Line list, List<HttpFront.HandedOver> open) { }
             vertx.executeBlocking(() -> new Left(list.readSaved(), Handover.take(handoverFile()))).compose(left -> {
                 list.start(left.list());
@@ -105,11 +97,33 @@
                 if (resumed > 0) LOG.atInfo().addKeyValue("sessions", resumed).log("taken over");
                 return (ledger == null ? Future.<Void>succeededFuture() : ledger.start()).compose(x -> front.start());
             }).onComplete(port);
-        });
+        }));
         return port.future().onSuccess(p -> LOG.atInfo().addKeyValue("gateway", config.settings().me())
             .addKeyValue("port", p).log("listening"));
     }
 
+    /** Null without a ledger. On a worker: a start must not read a disk on the loop. */
+    private Ledgers.Opened openLedger() throws IOException {
+        return config.ledger().kept() ? Ledgers.open(config.ledger(), opener) : null;
+    }
+
+    /** Makes the parts and joins them, on the loop. */
+    private void join(Front.Settings settings, long seed, String generation, Ledgers.Opened opened, SecureRandom random) {
+        var clock = new WallClock();
+        Timers timers = seams.timers((ms, task) -> vertx.setTimer(Math.max(1, (long) Math.ceil(ms)), t -> task.run()));
+        hosts = new HostClient(vertx, settings, config.media().silentMs(), clock);
+        list = new ListClient(vertx, config, hosts, seams.told(u -> gateway.update(u)), random.nextLong());
+        Books books = Books.NONE;
+        if (opened != null) {
+            ledger = Ledgers.keeper(vertx, config, opened, seams, generation, hosts, clock, random.nextLong());
+            books = ledger;
+        }
+        gateway = new Gateway(settings, seams.module(settings, seed, clock.getAsDouble()), seams.lastCheck(LastCheck.RULES),
+            generation, config.limits().marginMs(), clock, timers, seams.hosts(hosts), list, seams.books(books));
+        hosts.attach(gateway);
+        front = new HttpFront(vertx, config, gateway, hosts, clock);
+    }
+
     private Path handoverFile() {
         return config.handover().isEmpty() ? null : Path.of(config.handover());
     }
@@ -123,6 +137,7 @@
     public Future<Void> stop() {
         Promise<Void> done = Promise.promise();
         loop.runOnContext(v -> {
+            killed = true;
             if (front == null) { // it never started
                 if (gateway != null) gateway.halt();
                 new Thread(() -> vertx.close().onComplete(done)).start();
@@ -147,6 +162,7 @@
     public Future<Void> kill() {
         Promise<Void> halted = Promise.promise();
         loop.runOnContext(v -> {
+            killed = true;
             if (gateway != null) gateway.halt();
             if (hosts != null) hosts.close();
             if (ledger != null) ledger.kill();
--- a/src/main/java/trestleline/daemon/Ledgers.java
+++ b/src/main/java/trestleline/daemon/Ledgers.java
@@ -11,26 +11,33 @@
 import trestleline.ledger.Clerk;
 import trestleline.ledger.Keys;
 import trestleline.ledger.Outbox;
+import trestleline.ledger.store.Store;
 
 /** Opens a gateway's ledger as its settings say. */
 final class Ledgers {
     private Ledgers() { }
 
-    /** Throws {@code IOException} or {@code IllegalArgumentException} naming the file that can't be used. */
-    static LedgerKeeper open(Vertx vertx, GatewayConfig config, GatewayNode.StoreOpener opener, Seams seams,
-                             String generation, Receipts hosts, DoubleSupplier clock, long seed) throws IOException {
-        GatewayConfig.Ledger l = config.ledger();
-        Keys keys;
+    /** What lies on disk: read on a worker, before the loop has any part in it. */
+    record Opened(Keys keys, Store store) { }
+
+    /** Reads the keys and opens the store. Throws naming the file that can't be used. */
+    static Opened open(GatewayConfig.Ledger l, GatewayNode.StoreOpener opener) throws IOException {
         try {
-            keys = Keys.read(Files.readString(Path.of(l.keys())));
+            return new Opened(Keys.read(Files.readString(Path.of(l.keys()))), opener.open(Path.of(l.file())));
         } catch (IllegalArgumentException e) {
             throw new IllegalArgumentException(l.keys() + ": " + e.getMessage(), e);
         }
+    }
+
+    /** The keeper around it, on the gateway's loop. */
+    static LedgerKeeper keeper(Vertx vertx, GatewayConfig config, Opened opened, Seams seams, String generation, Receipts hosts,
+                               DoubleSupplier clock, long seed) {
+        GatewayConfig.Ledger l = config.ledger();
         var clerk = new Clerk.Terms(l.periodS() * 1000, l.latenessS() * 1000, l.backlog(), l.slowMs(), l.askFromMs(),
             l.askToMs(), l.askForMs(), l.open());
         var outbox = new Outbox.Terms(l.batch(), l.backoffFrom(), l.backoffTo(), l.budget(), l.windowMs());
         var settings = new LedgerKeeper.Settings(Integer.toString(config.settings().me()), generation, l.desk(), clerk);
-        return new LedgerKeeper(vertx, settings, keys, seams.store(opener.open(Path.of(l.file()))), seams.outbox(outbox, seed),
+        return new LedgerKeeper(vertx, settings, opened.keys(), seams.store(opened.store()), seams.outbox(outbox, seed),
             seams.receipts(hosts), clock);
     }
 }
