--- a/src/main/java/trestleline/hosts/HostClient.java
+++ b/src/main/java/trestleline/hosts/HostClient.java
@@ -11,6 +11,7 @@
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.DoubleSupplier;
@@ -60,6 +61,8 @@
         int[] open;
         int busy;
         boolean listed = true;
+        /** Attempts that play there: a host that was told gone while it lives still has to hear that they end. */
+        final Set<String> holds = new HashSet<>();
 
         Link(String ip, int port) {
             this.ip = ip;
@@ -97,7 +100,7 @@
     public void listed(Set<String> hosts) {
         links.forEach((h, l) -> l.listed = hosts.contains(h));
         links.entrySet().removeIf(e -> {
-            boolean drop = !e.getValue().listed && e.getValue().busy == 0;
+            boolean drop = !e.getValue().listed && e.getValue().busy == 0 && e.getValue().holds.isEmpty();
             if (drop) {
                 notes.forget(e.getKey());
                 if (e.getValue().client != null) e.getValue().client.close();
@@ -212,7 +215,10 @@
                         if (!exchange.over()) check();
                     });
                     case WRITE -> write();
-                    case TELL_PLAYING -> back.playing(report);
+                    case TELL_PLAYING -> {
+                        link.holds.add(attempt.id());
+                        back.playing(report);
+                    }
                     case TELL_OVER -> back.over(step.outcome(), report);
                     case CLOSE -> {
                         if (request != null) discard(request);
@@ -274,8 +280,11 @@
     private void release(Attempt attempt, int attempts) {
         Link link = links.get(attempt.host());
         if (link == null) return;
+        link.holds.remove(attempt.id());
+        link.busy++;
         client(link).request(to(link, HttpMethod.DELETE, "/sessions/" + attempt.id())
             .setTimeout((long) (4 * rules.connectTimeout()))).compose(HttpClientRequest::send).onComplete(got -> {
+                link.busy--;
                 if (got.succeeded() || attempts >= RELEASE_TRIES) return;
                 vertx.setTimer(100L << attempts, t -> release(attempt, attempts + 1));
             });
@@ -356,6 +365,7 @@
         String host = session.host();
         Link link = links.get(host);
         if (link == null) return Future.failedFuture(new HostFailure("no address for " + host, End.HOST_LOST));
+        link.holds.add(session.attempt().id());
         link.busy++;
         Promise<HttpClientResponse> promise = Promise.promise();
         HttpClientRequest[] sent = new HttpClientRequest[1];
--- a/src/test/java/trestleline/judge/JudgeTest.java
+++ b/src/test/java/trestleline/judge/JudgeTest.java
@@ -67,6 +67,17 @@
         see(asked(310, 3, "safe")).guilty(1);
     }
 
+    @Test
+    void peersThatWereHeldUpThemselvesReadLateWhatMayHaveComeInTime() {
+        see(new Seen.Blind(3000, 3200), asked(0, 1, "safe"), answered(3201, 1, 502)).guilty();
+        day.clear();
+        see(new Seen.Blind(3000, 3200), asked(0, 1, "safe"), answered(3241, 1, 502)).guilty(1);
+        day.clear(); // they saw well when it was due
+        see(new Seen.Blind(3050, 3200), asked(0, 1, "safe"), answered(3201, 1, 502)).guilty(1);
+        day.clear(); // no excuse for none at all
+        see(new Seen.Blind(3000, 3200), asked(0, 1, "safe")).guilty(1);
+    }
+
     @Test
     void aGatewayHeldStillIsLateAfterItRanAgain() {
         see(new Seen.Stalled(2900, "0", 4500), asked(0, 1, "safe"), answered(4600, 1, 502)).guilty();
