One memory budget for all that viewers can make a gateway hold

With a heap of 96 MB a gateway died of distinct long names, endless heads and pipelined requests together: each had a limit, their sum had none.

http.Budget counts connections, heads as they are read, requests held, sessions and pieces under way against limits.memory, and says who goes: newest idle, oldest unfinished heads, oldest silent ones; taken requests are owed their answer, so nameless asks are turned away from three quarters on, named ones at the limit. Reads of a socket take 4 kB, four requests queue on a connection, a piece waits in 16 kB. A budget that the heap can't hold is refused at a start with the sum.

--- a/src/main/java/trestleline/config/GatewayConfig.java
+++ b/src/main/java/trestleline/config/GatewayConfig.java
@@ -43,7 +43,10 @@
 
     /** Bounds on what viewers may use up. */
     public record Limits(int connections, int open, double headMs, double idleMs, double marginMs, double bufferMs,
-                         int headBytes) { }
+                         int headBytes, long memory) { }
+
+    /** Bytes of heap that the program takes by itself, module and one event loop's garbage included. */
+    private static final long PROGRAM = 24L << 20;
 
     /** A title: its number for the module, its length, and the cells that hold it. */
     public record Title(String name, long number, double seconds, int home, int holders) { }
@@ -70,7 +73,8 @@
         Reader b = r.object("limits");
         var limits = new Limits(b.whole("connections", 1, 1_000_000, 10_000), b.whole("open", 1, 1_000_000, 20_000),
             b.num("headMs", 50, INF, 5000), b.num("idleMs", 1000, INF, 30_000), b.num("marginMs", 0, 10_000, 60),
-            b.num("bufferMs", 0, 600_000, 6000), b.whole("headBytes", 512, 65536, 8192));
+            b.num("bufferMs", 0, 600_000, 6000), b.whole("headBytes", 512, 65536, 8192),
+            memory(b));
         Map<String, Title> titles = new HashMap<>();
         for (Title t : r.objects("titles", 1, t -> title(t, settings.fleet().places(), media.segmentS()))) {
             if (titles.put(t.name(), t) != null) r.error("titles", "two are named '" + t.name() + "'");
@@ -90,6 +94,16 @@
             l.whole("budget", 1, 1_000_000, 600), l.num("windowMs", 1, INF, 60_000));
     }
 
+    /** What viewers may make the gateway hold; a quarter of the heap unless told. Beyond what the heap bears it is refused. */
+    private static long memory(Reader b) {
+        long heap = Runtime.getRuntime().maxMemory(), asked = (long) b.num("memory", 1 << 20, INF, heap / 4.0);
+        if (asked + PROGRAM > heap) {
+            b.error("memory", "is " + asked + "; with " + PROGRAM + " for the program itself that is " + (asked + PROGRAM)
+                + ", more than the heap of " + heap);
+        }
+        return asked;
+    }
+
     /** Origins of pages whose players may read the answers: as browsers send them, or {@code *}. */
     private static List<String> origins(Reader li) {
         List<String> all = li.texts("origins", List.of("*"));
--- a/src/main/java/trestleline/http/Connections.java
+++ b/src/main/java/trestleline/http/Connections.java
@@ -1,44 +1,75 @@
 package trestleline.http;
 
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.Channel;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpConnection;
+import io.vertx.core.net.impl.ConnectionBase;
 import java.util.HashMap;
 import java.util.Map;
 import trestleline.config.GatewayConfig;
 
 /**
- * Bounds what connections cost: their number, the time to the first request (a head that never ends takes no longer),
- * and the time between requests. Memory: one entry a connection, at most {@code limits.connections}.
+ * Bounds what connections cost: their number, their memory ({@link Budget}), the time to the first request (a head that
+ * never ends takes no longer), the time between requests, and the requests that queue on one. Memory: one entry a
+ * connection, at most {@code limits.connections}.
  */
 final class Connections {
+    /** Requests that may wait on one connection, the one under way included. */
+    private static final int QUEUED = 4;
+    /** Bytes that one read of a socket takes at most: what is read at once is decoded at once. */
+    private static final int READ = 4096;
+
     private final Vertx vertx;
     private final GatewayConfig.Limits limits;
+    private final Budget<HttpConnection> budget;
     private final Map<HttpConnection, Long> timers = new HashMap<>();
-    private long turnedAway, timedOut;
+    private long turnedAway, timedOut, crowded;
 
     Connections(Vertx vertx, GatewayConfig.Limits limits) {
         this.vertx = vertx;
         this.limits = limits;
+        budget = new Budget<>(limits.memory());
     }
 
     void opened(HttpConnection c) {
         if (timers.size() >= limits.connections()) {
             turnedAway++;
-            c.close();
+            cut(c);
             return;
         }
+        Channel channel = ((ConnectionBase) c).channel();
+        channel.config().setRecvByteBufAllocator(new AdaptiveRecvByteBufAllocator(256, 1024, READ));
+        channel.pipeline().addFirst(new Meter.Bytes(n -> {
+            budget.read(c, n);
+            room(0);
+        }));
+        channel.pipeline().addBefore("handler", "queue", new Meter.Queue(QUEUED, () -> crowded++));
         timers.put(c, arm(c, limits.headMs()));
+        budget.opened(c);
         c.exceptionHandler(e -> { }); // viewers' connections break all day; the close handler does the rest
         c.closeHandler(v -> {
+            budget.closed(c);
             Long timer = timers.remove(c);
             if (timer != null) vertx.cancelTimer(timer);
         });
+        room(0);
+    }
+
+    /** Makes room for so many bytes, as far as connections may go for it. */
+    private void room(long more) {
+        for (HttpConnection c = budget.shed(more); c != null; c = budget.shed(more)) cut(c);
+    }
+
+    /** At once: an orderly close would wait for a peer that need not read. */
+    private static void cut(HttpConnection c) {
+        ((ConnectionBase) c).channel().close();
     }
 
     private long arm(HttpConnection c, double ms) {
         return vertx.setTimer((long) Math.max(1, ms), t -> {
             timedOut++;
-            c.close();
+            cut(c);
         });
     }
 
@@ -46,11 +77,37 @@
     void busy(HttpConnection c) {
         Long timer = timers.get(c);
         if (timer != null) vertx.cancelTimer(timer);
+        budget.taken(c);
+    }
+
+    /** A piece of a session goes out on it. */
+    void plays(HttpConnection c) {
+        budget.stands(c, Budget.Standing.PLAYING, Budget.PIECE);
+        room(0);
     }
 
     /** The answer is complete; the next head must follow in time, however slowly its bytes come. */
     void idle(HttpConnection c) {
-        if (timers.containsKey(c)) timers.put(c, arm(c, limits.idleMs()));
+        if (!timers.containsKey(c)) return;
+        timers.put(c, arm(c, limits.idleMs()));
+        boolean plays = budget.standing(c) == Budget.Standing.PLAYING;
+        budget.stands(c, plays ? Budget.Standing.PLAYING : Budget.Standing.IDLE, 0);
+    }
+
+    /** Whether a session may be asked for: others go for it, if that helps. */
+    boolean admits(boolean named) {
+        room(Budget.SESSION);
+        return budget.admits(named, Budget.SESSION);
+    }
+
+    /** A session is served from now on, or no longer. */
+    void session(boolean begins) {
+        budget.session(begins ? 1 : -1);
+        if (begins) room(0);
+    }
+
+    Budget<HttpConnection> budget() {
+        return budget;
     }
 
     int open() {
@@ -64,4 +121,9 @@
     long timedOut() {
         return timedOut;
     }
+
+    /** Connections closed as too many requests queued on them. */
+    long crowded() {
+        return crowded;
+    }
 }
--- a/src/main/java/trestleline/http/HttpFront.java
+++ b/src/main/java/trestleline/http/HttpFront.java
@@ -39,6 +39,8 @@
     public static final String REQUEST = "Trestleline-Request";
     private static final String M3U8 = "application/vnd.apple.mpegurl", AAC = "audio/aac";
     private static final double SWEEP = 500;
+    /** Bytes of a piece that may wait for a viewer to read; then its host is read no further. */
+    private static final int QUEUE = 16384;
 
     private final Vertx vertx;
     private final GatewayConfig config;
@@ -74,12 +76,13 @@
             this.token = token;
             this.identity = identity;
             byToken.put(token, this);
+            connections.session(true);
             bySession.put(session, this);
             if (identity != null) bySid.put(identity, this);
         }
 
         void forget() {
-            byToken.remove(token);
+            if (byToken.remove(token) != null) connections.session(false);
             bySession.remove(session);
             if (identity != null) bySid.remove(identity, this);
         }
@@ -295,7 +298,8 @@
             held.join(response);
             return;
         }
-        if (draining || gateway.counts().waiting() + byToken.size() >= config.limits().open()) {
+        if (draining || gateway.counts().waiting() + byToken.size() >= config.limits().open()
+            || !connections.admits(identity != null)) {
             turnedAway++;
             response.putHeader("Retry-After", "1");
             plain(response, 503, "turned away at the door");
@@ -342,6 +346,7 @@
         Cmcd hints = hints(request);
         hints.bufferMs().ifPresent(b -> p.buffer = b);
         p.seen = clock.getAsDouble();
+        connections.plays(request.connection());
         p.fetching++;
         double from = p.seen;
         new Piece(p, response, r.segment() == count - 1).fetch(r.segment(), from);
@@ -379,6 +384,7 @@
 
         private void pass(double asked) {
             moved = clock.getAsDouble();
+            to.setWriteQueueMaxSize(QUEUE);
             String before = from.getHeader(Cmsd.DYNAMIC), length = from.getHeader("Content-Length");
             String fixed = from.getHeader(Cmsd.STATIC);
             if (length != null) to.putHeader("Content-Length", length);
@@ -479,7 +485,9 @@
             .put("moduleBugs", c.bugs()).put("stalls", c.stalls()).put("waiting", c.waiting())
             .put("playing", c.playing()).put("hosts", c.hosts()).put("listVersion", c.listVersion())
             .put("connections", connections.open()).put("connectionsTurnedAway", connections.turnedAway())
-            .put("connectionsTimedOut", connections.timedOut()).put("badRequests", badRequests)
+            .put("connectionsTimedOut", connections.timedOut())
+            .put("connectionsShed", connections.budget().shedSoFar()).put("connectionsCrowded", connections.crowded())
+            .put("memory", connections.budget().used()).put("memoryLimit", connections.budget().limit()).put("badRequests", badRequests)
             .put("hinted", hinted).put("hintsIgnored", hintsIgnored).put("segments", segments)
             .put("segmentsFailed", segmentsFailed).put("turnedAway", turnedAway).put("tokens", byToken.size())
             .put("links", hosts.links()).put("hostConnectionsBroken", hosts.breaks()).put("draining", draining);
