--- a/src/main/java/trestleline/cli/Measure.java
+++ b/src/main/java/trestleline/cli/Measure.java
@@ -7,6 +7,7 @@
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Spec;
+import trestleline.measure.HeapStress;
 import trestleline.measure.Measurement;
 
 @Command(name = "measure", mixinStandardHelpOptions = true,
@@ -17,11 +18,14 @@
     @Option(names = "--seconds", defaultValue = "5", description = "of each round (${DEFAULT-VALUE})")
     private double seconds;
 
-    @Option(names = "--only", defaultValue = "all", description = "path, module, ledger or all (${DEFAULT-VALUE})")
+    @Option(names = "--only", defaultValue = "all", description = "path, module, ledger, heap or all (${DEFAULT-VALUE})")
     private String only;
     @Option(names = "--entries", defaultValue = "1000000", description = "of the ledger to recover and export (${DEFAULT-VALUE})")
     private int entries;
 
+    @Option(names = "--heaps", split = ",", defaultValue = "64,96,256", description = "heaps in MB to try (${DEFAULT-VALUE})")
+    private int[] heaps;
+
     @Override
     public Integer call() throws Exception {
         var out = spec.commandLine().getOut();
@@ -29,13 +33,19 @@
             out.println(line);
             out.flush();
         });
-        if (!List.of("all", "path", "module", "ledger").contains(only)) {
-            throw new CommandLine.ParameterException(spec.commandLine(), "--only: expected path, module, ledger or all");
+        if (!List.of("all", "path", "module", "ledger", "heap").contains(only)) {
+            throw new CommandLine.ParameterException(spec.commandLine(), "--only: expected path, module, ledger, heap or all");
         }
         boolean all = only.equals("all");
         if (all || only.equals("path")) m.path(seconds);
         if (all || only.equals("module")) m.module(6 * seconds);
         if (all || only.equals("ledger")) m.ledger(seconds, entries);
+        if (all || only.equals("heap")) {
+            for (int mb : heaps) {
+                out.println(new HeapStress(HeapStress.Mix.FULL).run(mb).text());
+                out.flush();
+            }
+        }
         return 0;
     }
 }
--- a/src/main/java/trestleline/http/Budget.java
+++ b/src/main/java/trestleline/http/Budget.java
@@ -2,6 +2,7 @@
 
 import java.util.EnumMap;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 
@@ -9,12 +10,16 @@
  * What viewers make this front hold, in bytes against one limit, and who goes when it is exceeded (docs/operators.md). Free
  * of I/O and clock; a connection is whatever the caller names it by. Its own memory: one entry a connection.
  *
- * <p>Order: idle connections, the newest first; heads that don't end, the oldest first, as a rightful one ends within
- * moments; connections that have said nothing yet, the oldest first. Requests already taken are never shed, as each is owed
- * its one answer: those without a name are no longer admitted from three quarters of the limit on, named ones from all of
- * it. What plays is kept.
+ * <p>Order: idle connections, the newest first; then whoever has owed the next step for longest, as a rightful viewer goes on
+ * within moments: heads that don't end, connections that said nothing yet, sessions of which nothing was fetched, connections
+ * silent since they were granted one. One order for all four: a flood of one kind is older than a rightful viewer of another,
+ * and goes before it. Requests already taken are never shed, as each is owed its one answer: those
+ * without a name are no longer admitted from three quarters of the limit on, named ones from all of it. What plays is kept.
+ *
+ * @param <C> connections
+ * @param <S> sessions
  */
-final class Budget<C> {
+final class Budget<C, S> {
     /** How a connection stands. */
     enum Standing {
         /** Accepted, nothing read yet. */
@@ -23,6 +28,8 @@
         HEAD,
         /** Between requests. */
         IDLE,
+        /** Was given a session's playlist, and is silent since. */
+        GRANTED,
         /** A request is under way on it. */
         BUSY,
         /** Fetches a session's media. */
@@ -40,14 +47,18 @@
     /** What a byte of a head comes to once it is read into names and values. */
     static final int HEAD_FACTOR = 4;
     private static final double UNNAMED = 0.75;
+    private static final List<Standing> OWING = List.of(Standing.HEAD, Standing.FRESH, Standing.GRANTED);
 
     private final long limit;
     private final Map<C, Place> places = new HashMap<>();
     private final Map<Standing, TreeMap<Long, C>> order = new EnumMap<>(Standing.class);
-    private long used, opened, shed;
+    /** Sessions of which no piece was fetched yet, by the number of their beginning, and that number. */
+    private final TreeMap<Long, S> silent = new TreeMap<>();
+    private final Map<S, Long> silentSince = new HashMap<>();
+    private long used, numbers, shed, sessionsShed;
 
     private static final class Place {
-        final long number;
+        long number;
         Standing standing = Standing.FRESH;
         long bytes = CONNECTION;
 
@@ -62,7 +73,7 @@
     }
 
     void opened(C c) {
-        Place p = new Place(opened++);
+        Place p = new Place(numbers++);
         places.put(c, p);
         order.get(p.standing).put(p.number, c);
         used += p.bytes;
@@ -80,6 +91,7 @@
         Place p = places.get(c);
         if (p == null) return;
         order.get(p.standing).remove(p.number);
+        if (p.standing != standing) p.number = numbers++; // it is as old as its standing
         p.standing = standing;
         order.get(standing).put(p.number, c);
         used += CONNECTION + bytes - p.bytes;
@@ -101,9 +113,23 @@
         stands(c, Standing.BUSY, REQUEST + (p.standing == Standing.HEAD ? p.bytes - CONNECTION : 0));
     }
 
-    /** A session begins or ends. */
-    void session(int by) {
-        used += by * SESSION;
+    /** A session begins. */
+    void began(S session) {
+        used += SESSION;
+        silentSince.put(session, numbers);
+        silent.put(numbers++, session);
+    }
+
+    /** A piece of it was asked for. */
+    void fetched(S session) {
+        Long since = silentSince.remove(session);
+        if (since != null) silent.remove(since);
+    }
+
+    /** It is over; told once. */
+    void ended(S session) {
+        used -= SESSION;
+        fetched(session);
     }
 
     Standing standing(C c) {
@@ -111,17 +137,36 @@
         return p == null ? null : p.standing;
     }
 
-    /** The next connection to close, or null when there is room for {@code more} bytes or none may go. */
-    C shed(long more) {
+    /** What to let go next: a connection to close or a session to end; the other is null. */
+    record Shed<C, S>(C connection, S session) { }
+
+    /** The next to go, or null when there is room for {@code more} bytes or none may go. */
+    Shed<C, S> shed(long more) {
         if (used + more <= limit) return null;
-        C next = null;
-        if (!order.get(Standing.IDLE).isEmpty()) next = order.get(Standing.IDLE).lastEntry().getValue();
-        else if (!order.get(Standing.HEAD).isEmpty()) next = order.get(Standing.HEAD).firstEntry().getValue();
-        else if (!order.get(Standing.FRESH).isEmpty()) next = order.get(Standing.FRESH).firstEntry().getValue();
-        if (next == null) return null;
+        if (!order.get(Standing.IDLE).isEmpty()) return close(order.get(Standing.IDLE).lastEntry().getValue());
+        Map.Entry<Long, C> oldest = null;
+        for (Standing s : OWING) {
+            Map.Entry<Long, C> first = order.get(s).firstEntry();
+            if (first != null && (oldest == null || first.getKey() < oldest.getKey())) oldest = first;
+        }
+        if (!silent.isEmpty() && (oldest == null || silent.firstKey() < oldest.getKey())) {
+            S next = silent.firstEntry().getValue();
+            ended(next);
+            sessionsShed++;
+            return new Shed<>(null, next);
+        }
+        return oldest == null ? null : close(oldest.getValue());
+    }
+
+    private Shed<C, S> close(C next) {
         closed(next);
         shed++;
-        return next;
+        return new Shed<>(next, null);
+    }
+
+    /** Sessions ended to make room. */
+    long sessionsShedSoFar() {
+        return sessionsShed;
     }
 
     /** Whether a request may be taken that makes the front hold so much more; asked after shedding. */
--- a/src/main/java/trestleline/http/Connections.java
+++ b/src/main/java/trestleline/http/Connections.java
@@ -7,6 +7,7 @@
 import io.vertx.core.net.impl.ConnectionBase;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Consumer;
 import trestleline.config.GatewayConfig;
 
 /**
@@ -14,7 +15,7 @@
  * never ends takes no longer), the time between requests, and the requests that queue on one. Memory: one entry a
  * connection, at most {@code limits.connections}.
  */
-final class Connections {
+final class Connections<S> {
     /** Requests that may wait on one connection, the one under way included. */
     private static final int QUEUED = 4;
     /** Bytes that one read of a socket takes at most: what is read at once is decoded at once. */
@@ -22,11 +23,14 @@
 
     private final Vertx vertx;
     private final GatewayConfig.Limits limits;
-    private final Budget<HttpConnection> budget;
+    private final Budget<HttpConnection, S> budget;
+    private final Consumer<S> end;
     private final Map<HttpConnection, Long> timers = new HashMap<>();
     private long turnedAway, timedOut, crowded;
 
-    Connections(Vertx vertx, GatewayConfig.Limits limits) {
+    /** @param end ends a session that has to go */
+    Connections(Vertx vertx, GatewayConfig.Limits limits, Consumer<S> end) {
+        this.end = end;
         this.vertx = vertx;
         this.limits = limits;
         budget = new Budget<>(limits.memory());
@@ -40,10 +44,8 @@
         }
         Channel channel = ((ConnectionBase) c).channel();
         channel.config().setRecvByteBufAllocator(new AdaptiveRecvByteBufAllocator(256, 1024, READ));
-        channel.pipeline().addFirst(new Meter.Bytes(n -> {
-            budget.read(c, n);
-            room(0);
-        }));
+        // room is made once they were read: a head that is whole by then is a request, and not one that doesn't end
+        channel.pipeline().addFirst(new Meter.Bytes(n -> budget.read(c, n), () -> room(0)));
         channel.pipeline().addBefore("handler", "queue", new Meter.Queue(QUEUED, () -> crowded++));
         timers.put(c, arm(c, limits.headMs()));
         budget.opened(c);
@@ -56,9 +58,12 @@
         room(0);
     }
 
-    /** Makes room for so many bytes, as far as connections may go for it. */
+    /** Makes room for so many bytes, as far as anything may go for it. */
     private void room(long more) {
-        for (HttpConnection c = budget.shed(more); c != null; c = budget.shed(more)) cut(c);
+        for (Budget.Shed<HttpConnection, S> next = budget.shed(more); next != null; next = budget.shed(more)) {
+            if (next.connection() != null) cut(next.connection());
+            else end.accept(next.session());
+        }
     }
 
     /** At once: an orderly close would wait for a peer that need not read. */
@@ -80,8 +85,14 @@
         budget.taken(c);
     }
 
+    /** A session's playlist was given out on it. */
+    void granted(HttpConnection c) {
+        if (budget.standing(c) != Budget.Standing.PLAYING) budget.stands(c, Budget.Standing.GRANTED, 0);
+    }
+
     /** A piece of a session goes out on it. */
-    void plays(HttpConnection c) {
+    void plays(HttpConnection c, S session) {
+        budget.fetched(session);
         budget.stands(c, Budget.Standing.PLAYING, Budget.PIECE);
         room(0);
     }
@@ -90,8 +101,9 @@
     void idle(HttpConnection c) {
         if (!timers.containsKey(c)) return;
         timers.put(c, arm(c, limits.idleMs()));
-        boolean plays = budget.standing(c) == Budget.Standing.PLAYING;
-        budget.stands(c, plays ? Budget.Standing.PLAYING : Budget.Standing.IDLE, 0);
+        Budget.Standing now = budget.standing(c);
+        boolean stays = now == Budget.Standing.PLAYING || now == Budget.Standing.GRANTED;
+        budget.stands(c, stays ? now : Budget.Standing.IDLE, 0);
     }
 
     /** Whether a session may be asked for: others go for it, if that helps. */
@@ -100,13 +112,17 @@
         return budget.admits(named, Budget.SESSION);
     }
 
-    /** A session is served from now on, or no longer. */
-    void session(boolean begins) {
-        budget.session(begins ? 1 : -1);
-        if (begins) room(0);
+    /** A session is served from now on. */
+    void began(S session) {
+        budget.began(session);
+    }
+
+    /** It is served no longer; told once, and not of one that had to go. */
+    void ended(S session) {
+        budget.ended(session);
     }
 
-    Budget<HttpConnection> budget() {
+    Budget<HttpConnection, S> budget() {
         return budget;
     }
 
--- a/src/main/java/trestleline/http/HttpFront.java
+++ b/src/main/java/trestleline/http/HttpFront.java
@@ -49,7 +49,7 @@
     private final DoubleSupplier clock;
     private final Asks asks;
     private final Silence silence;
-    private final Connections connections;
+    private final Connections<Playing> connections;
     private final Cors cors;
     private final String name;
     private final SecureRandom random = new SecureRandom();
@@ -76,13 +76,17 @@
             this.token = token;
             this.identity = identity;
             byToken.put(token, this);
-            connections.session(true);
+            connections.began(this);
             bySession.put(session, this);
             if (identity != null) bySid.put(identity, this);
         }
 
         void forget() {
-            if (byToken.remove(token) != null) connections.session(false);
+            if (byToken.remove(token) != null) connections.ended(this);
+            unlist();
+        }
+
+        private void unlist() {
             bySession.remove(session);
             if (identity != null) bySid.remove(identity, this);
         }
@@ -90,7 +94,7 @@
 
     /** A request held for the core's answer, and everyone who waits for that answer. */
     private final class Waiting implements Viewer {
-        final List<HttpServerResponse> to = new ArrayList<>();
+        final List<HttpServerRequest> to = new ArrayList<>();
         final GatewayConfig.Title title;
         final String identity;
         final double from = clock.getAsDouble();
@@ -102,21 +106,21 @@
             if (identity != null) waiting.put(identity, this);
         }
 
-        void join(HttpServerResponse response) {
-            to.add(response);
-            response.closeHandler(v -> {
-                if (to.remove(response) && to.isEmpty()) {
+        void join(HttpServerRequest request) {
+            to.add(request);
+            request.response().closeHandler(v -> {
+                if (to.remove(request) && to.isEmpty()) {
                     if (identity != null) waiting.remove(identity, this);
                     gateway.leave(req);
                 }
             });
         }
 
-        private List<HttpServerResponse> answer() {
+        private List<HttpServerRequest> answer() {
             if (identity != null) waiting.remove(identity, this);
-            List<HttpServerResponse> all = List.copyOf(to);
+            List<HttpServerRequest> all = List.copyOf(to);
             to.clear();
-            for (HttpServerResponse r : all) r.putHeader(REQUEST, config.settings().me() + "-" + req);
+            for (HttpServerRequest r : all) r.response().putHeader(REQUEST, config.settings().me() + "-" + req);
             return all;
         }
 
@@ -126,20 +130,22 @@
             random.nextBytes(bytes);
             String token = Base64.getUrlEncoder().withoutPadding().encodeToString(bytes);
             var playing = new Playing(session, title, token, identity);
-            for (HttpServerResponse r : answer()) playlist(r, playing, clock.getAsDouble() - from);
+            for (HttpServerRequest r : answer()) playlist(r, playing, clock.getAsDouble() - from);
         }
 
         @Override
         public void refused(double comeBackMs) {
-            for (HttpServerResponse r : answer()) {
-                if (comeBackMs > 0) r.putHeader("Retry-After", Long.toString((long) Math.ceil(comeBackMs / 1000)));
-                plain(r, 503, "no room now");
+            for (HttpServerRequest r : answer()) {
+                if (comeBackMs > 0) {
+                    r.response().putHeader("Retry-After", Long.toString((long) Math.ceil(comeBackMs / 1000)));
+                }
+                plain(r.response(), 503, "no room now");
             }
         }
 
         @Override
         public void failed() {
-            for (HttpServerResponse r : answer()) plain(r, 502, "the session could not be set up");
+            for (HttpServerRequest r : answer()) plain(r.response(), 502, "the session could not be set up");
         }
 
         @Override
@@ -148,6 +154,13 @@
         }
     }
 
+    /** A session of which nothing was fetched has to go for others; its viewer may ask again. */
+    private void shed(Playing p) {
+        byToken.remove(p.token);
+        p.unlist();
+        gateway.end(p.session, End.VIEWER_GONE);
+    }
+
     private void over(Session session) {
         Playing p = bySession.get(session);
         if (p != null) p.forget();
@@ -161,7 +174,7 @@
         this.clock = clock;
         asks = new Asks(config.settings());
         silence = new Silence(config.limits().bufferMs(), config.media().segmentS() * 1000);
-        connections = new Connections(vertx, config.limits());
+        connections = new Connections<>(vertx, config.limits(), this::shed);
         cors = new Cors(config.listen().origins());
         name = "trestleline-" + config.settings().me();
     }
@@ -290,12 +303,12 @@
         Playing playing = identity == null ? null : bySid.get(identity);
         if (playing != null) {
             playing.seen = clock.getAsDouble();
-            playlist(response, playing, 0);
+            playlist(request, playing, 0);
             return;
         }
         Waiting held = identity == null ? null : waiting.get(identity);
         if (held != null) {
-            held.join(response);
+            held.join(request);
             return;
         }
         if (draining || gateway.counts().waiting() + byToken.size() >= config.limits().open()
@@ -306,7 +319,7 @@
             return;
         }
         Waiting w = new Waiting(title, identity);
-        w.join(response);
+        w.join(request);
         w.req = gateway.request(asks.of(r, title, hints, "unnamed-" + unnamed++), w);
     }
 
@@ -321,8 +334,10 @@
         return keys;
     }
 
-    private void playlist(HttpServerResponse response, Playing p, double waitedMs) {
+    private void playlist(HttpServerRequest request, Playing p, double waitedMs) {
+        HttpServerResponse response = request.response();
         if (response.ended() || response.closed()) return;
+        connections.granted(request.connection());
         response.putHeader("Content-Type", M3U8).putHeader("Cache-Control", "no-store")
             .putHeader(Cmsd.STATIC, Cmsd.fixed(Map.of("n", name)))
             .putHeader(Cmsd.DYNAMIC, Cmsd.append(null, name, entry(p.session, waitedMs)))
@@ -346,7 +361,7 @@
         Cmcd hints = hints(request);
         hints.bufferMs().ifPresent(b -> p.buffer = b);
         p.seen = clock.getAsDouble();
-        connections.plays(request.connection());
+        connections.plays(request.connection(), p);
         p.fetching++;
         double from = p.seen;
         new Piece(p, response, r.segment() == count - 1).fetch(r.segment(), from);
@@ -487,6 +502,7 @@
             .put("connections", connections.open()).put("connectionsTurnedAway", connections.turnedAway())
             .put("connectionsTimedOut", connections.timedOut())
             .put("connectionsShed", connections.budget().shedSoFar()).put("connectionsCrowded", connections.crowded())
+            .put("sessionsShed", connections.budget().sessionsShedSoFar())
             .put("memory", connections.budget().used()).put("memoryLimit", connections.budget().limit()).put("badRequests", badRequests)
             .put("hinted", hinted).put("hintsIgnored", hintsIgnored).put("segments", segments)
             .put("segmentsFailed", segmentsFailed).put("turnedAway", turnedAway).put("tokens", byToken.size())
--- a/src/main/java/trestleline/http/Meter.java
+++ b/src/main/java/trestleline/http/Meter.java
@@ -16,15 +16,19 @@
     /** First in the pipeline: tells how many bytes were read, before anything is made of them. */
     static final class Bytes extends ChannelInboundHandlerAdapter {
         private final IntConsumer read;
+        private final Runnable done;
 
-        Bytes(IntConsumer read) {
+        /** @param done told once all that can be made of them was made */
+        Bytes(IntConsumer read, Runnable done) {
             this.read = read;
+            this.done = done;
         }
 
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object msg) {
             if (msg instanceof ByteBuf b) read.accept(b.readableBytes());
             ctx.fireChannelRead(msg);
+            done.run();
         }
     }
 
--- a/src/test/java/trestleline/http/BudgetTest.java
+++ b/src/test/java/trestleline/http/BudgetTest.java
@@ -14,11 +14,11 @@
 import trestleline.http.Budget.Standing;
 
 class BudgetTest {
-    private static Budget<String> of(int connections) {
+    private static Budget<String, String> of(int connections) {
         return new Budget<>(connections * Budget.CONNECTION);
     }
 
-    private static void open(Budget<String> b, Standing standing, String... names) {
+    private static void open(Budget<String, String> b, Standing standing, String... names) {
         for (String n : names) {
             b.opened(n);
             b.stands(n, standing, 0);
@@ -27,24 +27,30 @@
 
     @Test
     void whoGoesFirst() {
-        Budget<String> b = of(9);
+        Budget<String, String> b = of(12);
         open(b, Standing.IDLE, "idle-1", "idle-2");
         open(b, Standing.HEAD, "head-1", "head-2");
         open(b, Standing.FRESH, "fresh-1", "fresh-2");
         open(b, Standing.BUSY, "busy");
         open(b, Standing.PLAYING, "plays");
+        open(b, Standing.GRANTED, "granted");
+        b.began("silent");
+        open(b, Standing.FRESH, "fresh-3");
+        b.began("fetched");
+        b.fetched("fetched");
         assertNull(b.shed(0), "there is room");
-        for (String next : new String[] {"idle-2", "idle-1", "head-1", "head-2", "fresh-1", "fresh-2"}) {
-            assertEquals(next, b.shed(9 * Budget.CONNECTION));
+        for (String next : new String[] {"idle-2", "idle-1", "head-1", "head-2", "fresh-1", "fresh-2", "granted", "silent", "fresh-3"}) {
+            Budget.Shed<String, String> gone = b.shed(12 * Budget.CONNECTION);
+            assertEquals(next, next.equals("silent") ? gone.session() : gone.connection());
         }
-        assertNull(b.shed(9 * Budget.CONNECTION), "what was taken is owed its answer, what plays is kept");
-        assertEquals(2 * Budget.CONNECTION, b.used());
-        assertEquals(6, b.shedSoFar());
+        assertNull(b.shed(12 * Budget.CONNECTION), "what was taken is owed its answer, what plays is kept");
+        assertEquals(2 * Budget.CONNECTION + Budget.SESSION, b.used());
+        assertEquals(8, b.shedSoFar());
     }
 
     @Test
     void askingWithoutANameIsTurnedAwayBeforeAskingWithOne() {
-        Budget<String> b = of(4);
+        Budget<String, String> b = of(4);
         open(b, Standing.BUSY, "a", "b", "c");
         assertFalse(b.admits(false, 1));
         assertTrue(b.admits(true, Budget.CONNECTION));
@@ -55,7 +61,7 @@
 
     @Test
     void aHeadCostsWhatWasReadOfIt() {
-        Budget<String> b = of(4);
+        Budget<String, String> b = of(4);
         b.opened("a");
         b.read("a", 100);
         b.read("a", 50);
@@ -65,9 +71,9 @@
         b.read("a", 1000);
         assertEquals(Standing.BUSY, b.standing("a"), "what is pipelined behind a request is bounded by number");
         b.stands("a", Standing.IDLE, 0);
-        b.session(1);
+        b.began("s");
         assertEquals(Budget.CONNECTION + Budget.SESSION, b.used());
-        b.session(-1);
+        b.ended("s");
         b.closed("a");
         b.closed("a");
         assertEquals(0, b.used());
@@ -76,7 +82,7 @@
     @Property(tries = 300)
     void theSumHoldsAndTheLimitIsKeptAsLongAsAnythingMayGo(@ForAll long seed) {
         var random = new Random(seed);
-        Budget<Integer> b = new Budget<>(20 * Budget.CONNECTION);
+        Budget<Integer, Integer> b = new Budget<>(20 * Budget.CONNECTION);
         Map<Integer, Standing> model = new HashMap<>();
         for (int i = 0; i < 400; i++) {
             int c = random.nextInt(60);
@@ -93,15 +99,15 @@
                 }
                 case 2 -> b.read(c, random.nextInt(2000));
                 default -> {
-                    Standing s = Standing.values()[random.nextInt(5)];
+                    Standing s = Standing.values()[random.nextInt(Standing.values().length)];
                     b.stands(c, s, random.nextInt(5000));
                 }
             }
-            for (Integer gone = b.shed(0); gone != null; gone = b.shed(0)) model.remove(gone);
+            for (var gone = b.shed(0); gone != null; gone = b.shed(0)) model.remove(gone.connection());
             boolean some = false;
             for (int m : model.keySet()) {
                 Standing s = b.standing(m);
-                some |= s == Standing.FRESH || s == Standing.HEAD || s == Standing.IDLE;
+                some |= s != Standing.BUSY && s != Standing.PLAYING;
             }
             assertTrue(b.used() <= b.limit() || !some, "seed " + seed);
         }
