A small heap's verdict no longer hangs on one moment: long heads go first, viewers return

Heads of over 2 KB that do not end are shed before anything that viewers hold. The status names the step that one read may count beyond the limit.

--- a/src/main/java/trestleline/http/Budget.java
+++ b/src/main/java/trestleline/http/Budget.java
@@ -10,8 +10,9 @@
  * What viewers make this front hold, in bytes against one limit, and who goes when it is exceeded (docs/operators.md). Free
  * of I/O and clock; a connection is whatever the caller names it by. Its own memory: one entry a connection.
  *
- * <p>Order: idle connections, the newest first; then whoever has owed the next step for longest, as a rightful viewer goes on
- * within moments: heads that don't end, connections that said nothing yet, sessions of which nothing was fetched, connections
+ * <p>Order: idle connections, the newest first; then long heads that don't end, the oldest first, as one of them holds what
+ * several viewers do; then whoever has owed the next step for longest, as a rightful viewer goes on
+ * within moments: other heads, connections that said nothing yet, sessions of which nothing was fetched, connections
  * silent since they were granted one. One order for all four: a flood of one kind is older than a rightful viewer of another,
  * and goes before it. Requests already taken are never shed, as each is owed its one answer: those
  * without a name are no longer admitted from three quarters of the limit on, named ones from all of it. What plays is kept.
@@ -26,6 +27,8 @@
         FRESH,
         /** In the middle of a head. */
         HEAD,
+        /** In the middle of a head longer than players send. */
+        LONG_HEAD,
         /** Between requests. */
         IDLE,
         /** Was given a session's playlist, and is silent since. */
@@ -46,6 +49,8 @@
     static final long PIECE = 48_000;
     /** What a byte of a head comes to once it is read into names and values. */
     static final int HEAD_FACTOR = 4;
+    /** Bytes of a head beyond which it is long: a player's has a few hundred. */
+    static final int LONG = 2048;
     private static final double UNNAMED = 0.75;
     private static final List<Standing> OWING = List.of(Standing.HEAD, Standing.FRESH, Standing.GRANTED);
 
@@ -102,15 +107,19 @@
     void read(C c, long bytes) {
         Place p = places.get(c);
         if (p == null || p.standing == Standing.BUSY || p.standing == Standing.PLAYING) return;
-        long before = p.standing == Standing.HEAD ? p.bytes - CONNECTION : 0;
-        stands(c, Standing.HEAD, before + bytes * HEAD_FACTOR);
+        long all = (inHead(p) ? p.bytes - CONNECTION : 0) + bytes * HEAD_FACTOR;
+        stands(c, all > LONG * HEAD_FACTOR ? Standing.LONG_HEAD : Standing.HEAD, all);
+    }
+
+    private static boolean inHead(Place p) {
+        return p.standing == Standing.HEAD || p.standing == Standing.LONG_HEAD;
     }
 
     /** The head that was read is whole: a request is under way. What plays stays what plays. */
     void taken(C c) {
         Place p = places.get(c);
         if (p == null || p.standing == Standing.PLAYING) return;
-        stands(c, Standing.BUSY, REQUEST + (p.standing == Standing.HEAD ? p.bytes - CONNECTION : 0));
+        stands(c, Standing.BUSY, REQUEST + (inHead(p) ? p.bytes - CONNECTION : 0));
     }
 
     /** A session begins. */
@@ -144,7 +153,8 @@
     Shed<C, S> shed(long more) {
         if (used + more <= limit) return null;
         if (!order.get(Standing.IDLE).isEmpty()) return close(order.get(Standing.IDLE).lastEntry().getValue());
-        Map.Entry<Long, C> oldest = null;
+        Map.Entry<Long, C> oldest = order.get(Standing.LONG_HEAD).firstEntry();
+        if (oldest != null) return close(oldest.getValue());
         for (Standing s : OWING) {
             Map.Entry<Long, C> first = order.get(s).firstEntry();
             if (first != null && (oldest == null || first.getKey() < oldest.getKey())) oldest = first;
--- a/src/main/java/trestleline/http/Connections.java
+++ b/src/main/java/trestleline/http/Connections.java
@@ -20,6 +20,11 @@
     private static final int QUEUED = 4;
     /** Bytes that one read of a socket takes at most: what is read at once is decoded at once. */
     private static final int READ = 4096;
+    /**
+     * Bytes that may be counted over the limit until one read's work is done: room is made after it, as what is answered in
+     * the same moment needs none.
+     */
+    static final long STEP = Budget.HEAD_FACTOR * (long) READ + Budget.REQUEST;
 
     private final Vertx vertx;
     private final GatewayConfig.Limits limits;
--- a/src/main/java/trestleline/http/HttpFront.java
+++ b/src/main/java/trestleline/http/HttpFront.java
@@ -503,8 +503,8 @@
             .put("connectionsTimedOut", connections.timedOut())
             .put("connectionsShed", connections.budget().shedSoFar()).put("connectionsCrowded", connections.crowded())
             .put("sessionsShed", connections.budget().sessionsShedSoFar())
-            .put("memory", connections.budget().used()).put("memoryLimit", connections.budget().limit()).put("badRequests", badRequests)
-            .put("hinted", hinted).put("hintsIgnored", hintsIgnored).put("segments", segments)
+            .put("memory", connections.budget().used()).put("memoryLimit", connections.budget().limit()).put("memoryStep", Connections.STEP)
+            .put("badRequests", badRequests).put("hinted", hinted).put("hintsIgnored", hintsIgnored).put("segments", segments)
             .put("segmentsFailed", segmentsFailed).put("turnedAway", turnedAway).put("tokens", byToken.size())
             .put("links", hosts.links()).put("hostConnectionsBroken", hosts.breaks()).put("draining", draining);
         response.putHeader("Content-Type", "application/json").end(json.encode() + "\n");
--- a/src/main/java/trestleline/standin/Player.java
+++ b/src/main/java/trestleline/standin/Player.java
@@ -28,8 +28,9 @@
 
     /** What became of it. */
     public static final class Result {
-        public int asked, granted, refused, failed, cut, left, unheard, segments, breaks;
-        public double firstAnswerMs = Double.NaN, stalledMs;
+        public int asked, granted, refused, failed, cut, left, unheard, segments, breaks, brokenPlaying;
+        /** How long its first answer took; from its first asking to its first grant; how long it stood. */
+        public double firstAnswerMs = Double.NaN, firstGrantMs = Double.NaN, stalledMs;
         public boolean finished;
         /** Why an asking was cut off, and when and where it was; null: none was. */
         public String cutBecause;
@@ -40,6 +41,9 @@
         }
     }
 
+    /** Times that a piece is fetched anew as its connection was closed before any answer. */
+    private static final int REPEATS = 2;
+
     private final Vertx vertx;
     private final HttpClientAgent client;
     private final Trace trace;
@@ -52,10 +56,10 @@
     private final SplittableRandom random;
     private final BiConsumer<Player, Result> done;
     private final Result result = new Result();
-    private int gateway, next;
+    private int gateway, next, repeated;
     private List<String> segments;
     private String base;
-    private double playedUntil, bufferedS;
+    private double playedUntil, bufferedS, firstAsked = Double.NaN;
     private boolean starved, over;
 
     /**
@@ -115,6 +119,7 @@
         result.asked++;
         base = "/" + script.tenant() + "/" + script.service() + "/" + script.title() + "/";
         double asked = clock.getAsDouble();
+        if (Double.isNaN(firstAsked)) firstAsked = asked;
         boolean[] answered = new boolean[1];
         client.request(to(base + "index.m3u8", true)).onComplete(got -> {
             if (got.failed()) { // nobody listens there: no gateway took the request
@@ -156,7 +161,7 @@
     private void answer(HttpClientResponse response) {
         int status = response.statusCode();
         if (status == 200) {
-            result.granted++;
+            if (result.granted++ == 0) result.firstGrantMs = clock.getAsDouble() - firstAsked;
             response.body().onComplete(body -> {
                 if (body.failed()) {
                     result.breaks++;
@@ -207,11 +212,20 @@
             vertx.setTimer((long) Math.max(1, (bufferedS - script.ahead()) * 1000), t -> fetch());
             return;
         }
+        boolean[] headSeen = new boolean[1];
         client.request(to(base + segments.get(next), result.segments == 0)).compose(HttpClientRequest::send)
-            .compose(r -> r.statusCode() == 200 ? r.body()
-                : io.vertx.core.Future.failedFuture("status " + r.statusCode())).onComplete(got -> {
+            .compose(r -> {
+                headSeen[0] = true;
+                return r.statusCode() == 200 ? r.body() : io.vertx.core.Future.failedFuture("status " + r.statusCode());
+            }).onComplete(got -> {
+                    if (got.failed() && !headSeen[0] && ++repeated <= REPEATS) {
+                        fetch(); // a kept connection was closed under it: as any HTTP client, once more (RFC 9110, section 9.2.2)
+                        return;
+                    }
+                    repeated = 0;
                     if (got.failed()) {
                         result.breaks++;
+                        if (result.segments > 0) result.brokenPlaying++;
                         comeAgain();
                         return;
                     }
