Titles in MPEG-TS and fragmented MP4, and live titles with a sliding list

A title's container is a setting; the front names pieces by it, with the initialization segment under the token. A live class's index.m3u8 answers one variant whose sliding list (RFC 8216, 6.2.2) lies under the session's token. Stand-ins make valid transport streams and fragments with timestamps by number alone, so that a change of rung leaves no gap.

--- a/src/main/java/trestleline/config/GatewayConfig.java
+++ b/src/main/java/trestleline/config/GatewayConfig.java
@@ -7,8 +7,11 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.stream.Stream;
 import java.util.Set;
 import trestleline.Front;
+import trestleline.media.Container;
+import trestleline.media.LiveWindow;
 import trestleline.media.Playlist;
 
 /**
@@ -26,8 +29,12 @@
     /** Where the list of hosts comes from, and the file that keeps the last one; {@code saved} empty: none is kept. */
     public record Source(String url, String saved, double retryFrom, double retryTo) { }
 
-    /** Media: segment length in seconds, and how long the gateway waits on a host that sends none. */
-    public record Media(double segmentS, double silentMs) { }
+    /** Media: segment length in seconds, how long the gateway waits on a host that sends none, segments that a live list holds. */
+    public record Media(double segmentS, double silentMs, int liveSegments) {
+        public LiveWindow live() {
+            return new LiveWindow(segmentS * 1000, liveSegments);
+        }
+    }
 
     /**
      * The billing ledger: its file and the file of its keys, both empty for none; {@code desk} where it is exported to, empty
@@ -49,7 +56,7 @@
     private static final long PROGRAM = 24L << 20;
 
     /** A title: its number for the module, its length, and the cells that hold it. */
-    public record Title(String name, long number, double seconds, int home, int holders) { }
+    public record Title(String name, long number, double seconds, int home, int holders, Container container) { }
 
     /** Reads and checks a file. */
     public static GatewayConfig open(Path path) {
@@ -69,7 +76,8 @@
             "an address like http://127.0.0.1:9000/hosts"), l.text("saved", ".+", "a file", ""),
             l.num("retryFrom", 1, INF, 100), l.num("retryTo", 1, INF, 3000));
         Reader m = r.object("media");
-        var media = new Media(m.num("segmentS", 0.1, 60, 2), m.num("silentMs", 50, INF, 3000));
+        var media = new Media(m.num("segmentS", 0.1, 60, 2), m.num("silentMs", 50, INF, 3000),
+            m.whole("liveSegments", LiveWindow.LEAST, 100, 6));
         Reader b = r.object("limits");
         var limits = new Limits(b.whole("connections", 1, 1_000_000, 10_000), b.whole("open", 1, 1_000_000, 20_000),
             b.num("headMs", 50, INF, 5000), b.num("idleMs", 1000, INF, 30_000), b.num("marginMs", 0, 10_000, 60),
@@ -120,11 +128,13 @@
         return r.text(field, "127\\.\\d{1,3}\\.\\d{1,3}\\.\\d{1,3}|localhost", "a loopback address", absent);
     }
 
+    private static final List<String> CONTAINERS = Stream.of(Container.values()).map(Container::setting).toList();
+
     /** A title has {@value Playlist#MOST} segments at most: its playlist is written on the event loop. */
     private static Title title(Reader t, int places, double segmentS) {
         String name = t.text("name", NAME, NAMED);
         return new Title(name, number(name), t.num("seconds", 0.1, Playlist.MOST * Math.max(0.1, segmentS)), t.whole("home", 0, 1_000_000),
-            t.whole("holders", 1, places));
+            t.whole("holders", 1, places), Container.of(t.oneOf("container", CONTAINERS, Container.AAC.setting())));
     }
 
     /** A stable number under 2^53 for a name; FNV-1a, so that all gateways agree without a table. */
--- a/src/main/java/trestleline/hosts/HostClient.java
+++ b/src/main/java/trestleline/hosts/HostClient.java
@@ -359,9 +359,10 @@
     /**
      * Asks the session's host for one piece at the rung in force. The response is paused; the caller reads it.
      *
+     * @param file the piece's name: a segment's, or the initialization segment's
      * @return fails with {@link HostFailure}
      */
-    public Future<HttpClientResponse> media(Session session, int number) {
+    public Future<HttpClientResponse> media(Session session, String file) {
         String host = session.host();
         Link link = links.get(host);
         if (link == null) return Future.failedFuture(new HostFailure("no address for " + host, End.HOST_LOST));
@@ -373,7 +374,7 @@
             if (!promise.tryFail(new HostFailure(host + " is silent", End.HOST_SILENT))) return;
             if (sent[0] != null) discard(sent[0]);
         });
-        String uri = "/sessions/" + session.attempt().id() + "/" + session.rung() + "/" + number + ".aac";
+        String uri = "/sessions/" + session.attempt().id() + "/" + session.rung() + "/" + file;
         client(link).request(to(link, HttpMethod.GET, uri)).compose(request -> {
             sent[0] = request;
             if (promise.future().isComplete()) discard(request);
--- a/src/main/java/trestleline/http/HttpFront.java
+++ b/src/main/java/trestleline/http/HttpFront.java
@@ -27,6 +27,8 @@
 import trestleline.hints.Cmsd;
 import trestleline.hosts.HostClient;
 import trestleline.hosts.HostFailure;
+import trestleline.media.Container;
+import trestleline.media.LiveWindow;
 import trestleline.media.Playlist;
 
 /**
@@ -37,7 +39,7 @@
 public final class HttpFront {
     /** Names the request in answers, for whoever reads logs. */
     public static final String REQUEST = "Trestleline-Request";
-    private static final String M3U8 = "application/vnd.apple.mpegurl", AAC = "audio/aac";
+    private static final String M3U8 = "application/vnd.apple.mpegurl";
     private static final double SWEEP = 500;
     /** Bytes of a piece that may wait for a viewer to read; then its host is read no further. */
     private static final int QUEUE = 16384;
@@ -67,6 +69,8 @@
         final Session session;
         final GatewayConfig.Title title;
         final String token, identity;
+        /** Its class is live: it plays what is made now, and has no end of its own. */
+        final boolean live;
         double seen = clock.getAsDouble(), buffer = Double.NaN;
         int fetching;
 
@@ -75,6 +79,7 @@
             this.title = title;
             this.token = token;
             this.identity = identity;
+            live = asks.terms(session.ask().service()).live();
             byToken.put(token, this);
             connections.began(this);
             bySession.put(session, this);
@@ -245,7 +250,8 @@
             response.putHeader("Allow", "GET, HEAD, OPTIONS");
             plain(response, 405, "only GET");
         } else if (r.playlist()) session(request, r);
-        else segment(request, r);
+        else if (r.reload()) reload(request, r);
+        else piece(request, r);
     }
 
     /** What a {@code GET} would find, without its effects: a {@code HEAD} of a playlist asks for no session. */
@@ -253,7 +259,7 @@
         Playing p = r.playlist() ? null : byToken.get(r.token());
         boolean found = r.playlist() ? known(r) : p != null && p.session.open() && within(p, r);
         response.setStatusCode(found ? 200 : r.playlist() ? 404 : 410).putHeader("Cache-Control", "no-store");
-        if (found) response.putHeader("Content-Type", r.playlist() ? M3U8 : AAC);
+        if (found) response.putHeader("Content-Type", r.playlist() || r.reload() ? M3U8 : p.title.container().type());
         response.end();
     }
 
@@ -263,8 +269,12 @@
     }
 
     private boolean within(Playing p, Request r) {
-        return p.title.name().equals(r.title())
-            && r.segment() < Playlist.segments(p.title.seconds(), config.media().segmentS());
+        if (!p.title.name().equals(r.title())) return false;
+        if (r.reload()) return p.live;
+        if (r.init()) return p.title.container() == Container.FMP4;
+        if (!r.of(p.title.container())) return false;
+        return p.live ? config.media().live().serves(r.segment(), clock.getAsDouble())
+            : r.segment() < Playlist.segments(p.title.seconds(), config.media().segmentS());
     }
 
     private void nothing(HttpServerResponse response, String what) {
@@ -341,30 +351,49 @@
         response.putHeader("Content-Type", M3U8).putHeader("Cache-Control", "no-store")
             .putHeader(Cmsd.STATIC, Cmsd.fixed(Map.of("n", name)))
             .putHeader(Cmsd.DYNAMIC, Cmsd.append(null, name, entry(p.session, waitedMs)))
-            .end(Playlist.write(p.token, p.title.seconds(), config.media().segmentS()));
+            .end(p.live ? Playlist.variant(p.token, p.title.container(), peak(p))
+                : Playlist.write(p.token, p.title.container(), p.title.seconds(), config.media().segmentS()));
+    }
+
+    private long peak(Playing p) {
+        return Math.round(asks.kbps(p.session.ask().service(), config.settings().ladder().kb().length - 1) * 1000);
+    }
+
+    /** The list of a live session as it is now: a sign of life, and no ask. */
+    private void reload(HttpServerRequest request, Request r) {
+        Playing p = playing(request, r);
+        if (p == null) return;
+        LiveWindow window = config.media().live();
+        connections.plays(request.connection(), p);
+        request.response().putHeader("Content-Type", M3U8).putHeader("Cache-Control", "no-store")
+            .end(Playlist.live(p.title.container(), config.media().segmentS(), window.first(clock.getAsDouble()), window.window()));
     }
 
     // ---- segments ----
 
-    private void segment(HttpServerRequest request, Request r) {
-        HttpServerResponse response = request.response();
+    /** The session that a request names, which is seen to live by it; null: answered already. */
+    private Playing playing(HttpServerRequest request, Request r) {
         Playing p = byToken.get(r.token());
         if (p == null || !p.session.open()) {
-            plain(response, 410, "no such session; ask for the playlist again");
-            return;
+            plain(request.response(), 410, "no such session; ask for the playlist again");
+            return null;
         }
-        int count = Playlist.segments(p.title.seconds(), config.media().segmentS());
         if (!within(p, r)) {
-            nothing(response, "no such segment");
-            return;
+            nothing(request.response(), "no such segment");
+            return null;
         }
-        Cmcd hints = hints(request);
-        hints.bufferMs().ifPresent(b -> p.buffer = b);
+        hints(request).bufferMs().ifPresent(b -> p.buffer = b);
         p.seen = clock.getAsDouble();
+        return p;
+    }
+
+    private void piece(HttpServerRequest request, Request r) {
+        Playing p = playing(request, r);
+        if (p == null) return;
         connections.plays(request.connection(), p);
         p.fetching++;
-        double from = p.seen;
-        new Piece(p, response, r.segment() == count - 1).fetch(r.segment(), from);
+        boolean last = !p.live && r.segment() == Playlist.segments(p.title.seconds(), config.media().segmentS()) - 1;
+        new Piece(p, request.response(), last).fetch(r.file(), p.seen);
     }
 
     /** One segment on its way from host to viewer: neither side's stop grows memory here. */
@@ -382,9 +411,9 @@
             this.last = last;
         }
 
-        void fetch(int number, double asked) {
+        void fetch(String file, double asked) {
             to.closeHandler(v -> finish(false));
-            hosts.media(p.session, number).onComplete(got -> {
+            hosts.media(p.session, file).onComplete(got -> {
                 if (got.failed()) {
                     failed(got.cause());
                 } else if (done) {
@@ -407,7 +436,7 @@
             if (fixed != null) to.putHeader(Cmsd.STATIC, fixed);
             // a part of a segment is not served: the whole is a right answer to a Range (RFC 9110, section 14.2)
             to.putHeader("Accept-Ranges", "none");
-            to.putHeader("Content-Type", AAC).putHeader("Cache-Control", "no-store")
+            to.putHeader("Content-Type", p.title.container().type()).putHeader("Cache-Control", "no-store")
                 .putHeader(Cmsd.DYNAMIC, Cmsd.append(before, name, entry(p.session, moved - asked)));
             from.handler(bytes -> {
                 moved = clock.getAsDouble();
--- a/src/main/java/trestleline/standin/MediaHost.java
+++ b/src/main/java/trestleline/standin/MediaHost.java
@@ -25,7 +25,8 @@
 import trestleline.Front;
 import trestleline.hints.Cmsd;
 import trestleline.judge.Seen;
-import trestleline.media.Adts;
+import trestleline.media.Container;
+import trestleline.media.Fmp4;
 
 /**
  * A stand-in for a media host (docs/wire.md): takes set-ups, serves silent media really paced by its link and its rack's
@@ -39,7 +40,7 @@
     /** How it is at the moment. */
     public enum Mode { DOWN, RUNNING, HUNG, VANISHED, FALLEN }
 
-    private static final Pattern SESSION = Pattern.compile("/sessions/([A-Za-z0-9-]{1,80})(?:/(\\d{1,2})/(\\d{1,6})\\.aac)?");
+    private static final Pattern SESSION = Pattern.compile("/sessions/([A-Za-z0-9-]{1,80})(?:/(\\d{1,2})/(?:(\\d{1,12})\\.(aac|ts|m4s)|init\\.mp4))?");
     private static final double TICK = 50, IDLE = 20_000;
     private static final int CACHE = 512;
 
@@ -343,7 +344,7 @@
             free(m.group(1));
             if (mode == Mode.RUNNING) response.setStatusCode(204).end();
         } else if (request.method() == HttpMethod.GET && m.group(2) != null) {
-            media(response, m.group(1), Integer.parseInt(m.group(2)), Integer.parseInt(m.group(3)));
+            media(response, m.group(1), Integer.parseInt(m.group(2)), m.group(3), m.group(4));
         } else {
             response.setStatusCode(405).end();
         }
@@ -483,7 +484,8 @@
         else over(attempt, Seen.How.CALLED_OFF);
     }
 
-    private void media(HttpServerResponse response, String attempt, int rung, int number) {
+    /** @param number null: the initialization segment */
+    private void media(HttpServerResponse response, String attempt, int rung, String number, String extension) {
         Held h = held.get(attempt);
         if (h == null || !h.runs || rung >= physics.settings().ladder().kb().length) {
             if (mode == Mode.RUNNING) response.setStatusCode(404).end();
@@ -492,12 +494,13 @@
         trace.add(new Seen.Played(clock.getAsDouble(), spec.name(), attempt, h.terms.name(), rung));
         h.rung = rung;
         h.touched = clock.getAsDouble();
-        Buffer bytes = cache.computeIfAbsent(h.title % 1000 + "/" + h.terms.name() + "/" + rung + "/" + number,
-            k -> Buffer.buffer(Adts.segment(number, physics.segmentS(), h.rate() * 1000)));
+        Container container = number == null ? Container.FMP4 : Container.byExtension(extension);
+        Buffer bytes = cache.computeIfAbsent(h.title % 1000 + "/" + h.terms.name() + "/" + rung + "/" + number + "/" + container, k ->
+            Buffer.buffer(number == null ? Fmp4.init() : container.segment(Long.parseLong(number), physics.segmentS(), h.rate() * 1000)));
         Map<String, Object> fixed = new HashMap<>();
         fixed.put("br", Math.round(h.rate() * 8));
         fixed.put("d", Math.round(physics.segmentS() * 1000));
-        response.putHeader("Content-Type", "audio/aac").putHeader("Content-Length", Integer.toString(bytes.length()))
+        response.putHeader("Content-Type", container.type()).putHeader("Content-Length", Integer.toString(bytes.length()))
             .putHeader(Cmsd.STATIC, Cmsd.fixed(fixed)).putHeader(Cmsd.DYNAMIC, told());
         var s = new Sending(h, response, bytes);
         sending.add(s);
--- a/src/main/java/trestleline/standin/Player.java
+++ b/src/main/java/trestleline/standin/Player.java
@@ -43,6 +43,8 @@
 
     /** Times that a piece is fetched anew as its connection was closed before any answer. */
     private static final int REPEATS = 2;
+    /** Pieces of a live title after which it has seen enough. */
+    private static final int LIVE_PIECES = 12;
 
     private final Vertx vertx;
     private final HttpClientAgent client;
@@ -58,7 +60,8 @@
     private final Result result = new Result();
     private int gateway, next, repeated;
     private List<String> segments;
-    private String base;
+    /** Of a live title: its list's address, and the piece played last. */
+    private String base, liveList, lastPlayed;
     private double playedUntil, bufferedS, firstAsked = Double.NaN;
     private boolean starved, over;
 
@@ -168,10 +171,17 @@
                     comeAgain();
                     return;
                 }
-                segments = Playlist.read(body.result().toString(StandardCharsets.UTF_8));
-                next = Math.min(next, segments.size() - 1); // goes on where it broke off
+                String text = body.result().toString(StandardCharsets.UTF_8);
                 playedUntil = clock.getAsDouble();
                 bufferedS = 0;
+                if (text.contains("#EXT-X-STREAM-INF")) {
+                    liveList = base + Playlist.read(text).get(0);
+                    next = -1;
+                    reload();
+                    return;
+                }
+                segments = Playlist.read(text);
+                next = Math.min(next, segments.size() - 1); // goes on where it broke off
                 fetch();
             });
             return;
@@ -194,6 +204,38 @@
 
     // ---- playing ----
 
+    /** A live list: begins three segments from its end, goes on where it stopped, skips what is gone (RFC 8216, section 6.3). */
+    private void reload() {
+        client.request(to(liveList, result.segments == 0)).compose(HttpClientRequest::send)
+            .compose(r -> r.statusCode() == 200 ? r.body() : io.vertx.core.Future.failedFuture("status " + r.statusCode()))
+            .onComplete(got -> {
+                if (got.failed()) {
+                    result.breaks++;
+                    if (result.segments > 0) result.brokenPlaying++;
+                    comeAgain();
+                    return;
+                }
+                String folder = liveList.substring(base.length(), liveList.lastIndexOf('/') + 1);
+                List<String> listed = Playlist.read(got.result().toString(StandardCharsets.UTF_8));
+                if (next < 0) next = Math.max(0, listed.size() - 3);
+                else next = listed.indexOf(lastPlayed) + 1; // not listed any more: the oldest that is
+                segments = listed.stream().map(n -> folder + n).toList();
+                if (next < segments.size()) fetch();
+                else vertx.setTimer((long) Math.max(1, script.segmentS() * 500), t -> reload());
+            });
+    }
+
+    private void fetched() {
+        String piece = segments.get(next++);
+        lastPlayed = piece.substring(piece.lastIndexOf('/') + 1);
+        if (next < segments.size()) fetch();
+        else if (liveList != null && result.segments < LIVE_PIECES) reload();
+        else {
+            result.finished = true;
+            finish();
+        }
+    }
+
     private void play() {
         double now = clock.getAsDouble(), passed = (now - playedUntil) / 1000;
         playedUntil = now;
@@ -233,11 +275,7 @@
                     starved = false;
                     result.segments++;
                     bufferedS += script.segmentS();
-                    if (++next < segments.size()) fetch();
-                    else {
-                        result.finished = true;
-                        finish();
-                    }
+                    fetched();
                 });
     }
 
--- a/src/test/java/trestleline/path/WholePathTest.java
+++ b/src/test/java/trestleline/path/WholePathTest.java
@@ -267,7 +267,7 @@
             assertTrue(flood.startsWith("HTTP/1.1 4") || flood.equals("reset"), flood);
             assertEquals("", endless(town).replaceAll("(?s)HTTP/1.1 4.*", ""), "a head that never ends is cut off");
             for (String trick : List.of("/../etc/passwd", "/bwyd-cyflym/zone-guide/%2e%2e/index.m3u8", "//", "/a/b/c/d/e",
-                "/bwyd-cyflym/zone-guide/short/" + "A".repeat(22) + "/999999999.aac", "/bwyd-cyflym/zone-guide/none/index.m3u8",
+                "/bwyd-cyflym/zone-guide/short/" + "A".repeat(22) + "/9999999999999.aac", "/bwyd-cyflym/zone-guide/none/index.m3u8",
                 "/nobody/zone-guide/short/index.m3u8", "/bwyd-cyflym/none/short/index.m3u8")) {
                 String got = town.raw(0, "GET " + trick + host + "\r\n");
                 assertTrue(got.startsWith("HTTP/1.1 404"), trick + ": " + got);
