--- a/src/main/java/trestleline/billing/LedgerKeeper.java
+++ b/src/main/java/trestleline/billing/LedgerKeeper.java
@@ -20,6 +20,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.DoubleSupplier;
+import java.util.function.UnaryOperator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import trestleline.core.Attempt;
@@ -27,7 +28,9 @@
 import trestleline.core.Hosts;
 import trestleline.core.Outcome;
 import trestleline.hosts.Receipts;
+import trestleline.ledger.Base;
 import trestleline.ledger.Clerk;
+import trestleline.ledger.Compaction;
 import trestleline.ledger.Entry;
 import trestleline.ledger.Head;
 import trestleline.ledger.Keys;
@@ -44,13 +47,14 @@
     private static final Logger LOG = LoggerFactory.getLogger(LedgerKeeper.class);
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final long TURN = 50;
-    private static final int ANSWER_MS = 1000;
+    private static final int ANSWER_MS = 1000, LET_GO_AT_ONCE = 500;
+    private static final double RETAIN_AGAIN_MS = 10_000;
 
-    /** {@code desk}: address of billing, empty for none. */
-    public record Settings(String gateway, String generation, String desk, Clerk.Terms clerk) { }
+    /** {@code desk}: address of billing, empty for none; {@code retention}: null keeps every entry. */
+    public record Settings(String gateway, String generation, String desk, Clerk.Terms clerk, Compaction.Terms retention) { }
 
     /** What an operator sees. */
-    public record Counts(long entries, int backlog, int unsettled, long givenUp, long heldBack, long toExport,
+    public record Counts(long entries, int backlog, int unsettled, long givenUp, long heldBack, long letGo, long toExport,
                          Map<String, Outbox.Bar> barred) { }
 
     private final Vertx vertx;
@@ -63,16 +67,19 @@
     private final Receipts hosts;
     private final DoubleSupplier clock;
     private final HttpClientAgent client;
+    private final UnaryOperator<Head> heads;
     private final Set<String> swept = new HashSet<>();
     /** Attempts of earlier generations settled in this one: bounded by what those left open or lost. */
     private final Set<String> settledHere = new HashSet<>();
     private String head = Sealed.NONE;
-    private double sweepFrom;
-    private long entries;
-    private boolean stopped, ready, resting;
+    private double sweepFrom, retainedFrom;
+    private long entries, letGo;
+    private boolean stopped, ready, resting, retaining;
 
+    /** @param heads what becomes of a head before it is signed: itself */
     public LedgerKeeper(Vertx vertx, Settings settings, Keys keys, Store store, Outbox outbox, Receipts hosts,
-                        DoubleSupplier clock) {
+                        DoubleSupplier clock, UnaryOperator<Head> heads) {
+        this.heads = heads;
         this.vertx = vertx;
         this.loop = vertx.getOrCreateContext();
         this.settings = settings;
@@ -100,7 +107,7 @@
         });
     }
 
-    private record Recovered(long entries, Map<String, Long> next, String follows, double last) { }
+    private record Recovered(long entries, Map<String, Long> next, Base base, String follows, double last) { }
 
     /** Reads what earlier generations left, writes the start of this one, and begins to export. */
     public Future<Void> start() {
@@ -108,6 +115,8 @@
         writer.on(store -> {
             String[] last = {Sealed.NONE};
             double[] at = {0};
+            Base base = store.base() == null ? Base.NONE : Base.parse(store.base());
+            clerk.recover(base);
             store.scan(line -> {
                 Sealed s = Sealed.parse(line);
                 Entry e = Entry.decode(s.text());
@@ -117,13 +126,14 @@
             });
             Map<String, Long> next = new LinkedHashMap<>();
             for (String g : store.generations()) next.put(g, store.next(g));
-            return new Recovered(store.size(), next, last[0], at[0]);
+            return new Recovered(store.size(), next, base, last[0], at[0]);
         }).whenComplete((r, e) -> loop.runOnContext(v -> {
             if (e != null) {
                 started.fail(e);
                 return;
             }
             r.next().forEach(outbox::safe);
+            r.base().ends().forEach((g, end) -> outbox.letGo(g, end.next()));
             entries = r.entries();
             sweepFrom = r.last() - settings.clerk().askForMs();
             put(clerk.start(r.follows(), clock.getAsDouble()));
@@ -184,7 +194,11 @@
             put(close);
             closed = true;
         }
-        if (closed) writer.on(this::anchor);
+        if (closed) {
+            writer.on(this::anchor);
+            retainedFrom = 0; // there may be more to let go
+        }
+        retain(now);
         sweep();
         export();
         vertx.setTimer(TURN, t -> turn());
@@ -194,10 +208,35 @@
     private Void anchor(Store store) throws IOException {
         String g = settings.generation();
         long next = store.next(g);
-        if (next > 0) store.anchor(g, Head.of(Sealed.parse(store.range(g, next - 1, next).get(0))).line(keys));
+        if (next > 0) store.anchor(g, heads.apply(Head.of(Sealed.parse(store.range(g, next - 1, next).get(0)))).line(keys));
         return null;
     }
 
+    /** Lets a few old entries go at a time, so that no paid set-up waits long for its turn at the store. */
+    private void retain(double now) {
+        if (settings.retention() == null || retaining || now < retainedFrom) return;
+        retaining = true;
+        Map<String, Long> held = settings.desk().isEmpty() ? null : outbox.acknowledged();
+        long closed = clerk.lastClosed();
+        writer.on(store -> {
+            List<String> oldest = store.oldest(LET_GO_AT_ONCE);
+            int n = Compaction.cut(settings.retention(), oldest, store.size() > oldest.size(), closed, now, held);
+            if (n == 0) return null;
+            Base base = (store.base() == null ? Base.NONE : Base.parse(store.base())).with(oldest.subList(0, n));
+            store.compact(base.line(keys), n);
+            return base;
+        }).whenComplete((base, e) -> loop.runOnContext(v -> {
+            retaining = false;
+            if (e != null) LOG.atWarn().addKeyValue("cause", String.valueOf(e.getMessage())).log("ledger not compacted");
+            if (base == null) {
+                retainedFrom = clock.getAsDouble() + RETAIN_AGAIN_MS; // acknowledgements may come, or the disk get well
+                return;
+            }
+            base.ends().forEach((g, end) -> outbox.letGo(g, end.next()));
+            letGo = base.entries();
+        }));
+    }
+
     /** Asks the host of an attempt of unknown end whether it ran. Asked so, a host that does not know it never runs it. */
     private void ask(Clerk.Paid p) {
         hosts.receipt(p.host(), p.attempt()).onSuccess(ran -> {
@@ -336,7 +375,9 @@
             for (String g : held.keySet()) {
                 long next = held.get(g)[0];
                 List<String> there = next == 0 ? List.of() : store.range(g, next - 1, next);
-                same.put(g, there.isEmpty() || Sealed.parse(there.get(0)).mac().equals(macs.get(g)));
+                Base.End end = store.base() == null ? null : Base.parse(store.base()).ends().get(g);
+                String seal = !there.isEmpty() ? Sealed.parse(there.get(0)).mac() : end != null && end.next() == next ? end.seal() : null;
+                same.put(g, seal == null || seal.equals(macs.get(g)));
             }
             return same;
         });
@@ -349,11 +390,10 @@
                 failed(e == null ? new IOException("nothing stored there") : e);
                 return;
             }
-            String path = "/batches?gateway=" + settings.gateway() + "&generation=" + s.generation() + "&number="
-                + s.number() + "&from=" + s.from();
+            String path = "/batches?gateway=" + settings.gateway() + "&generation=" + s.generation() + "&from=" + s.from();
             // a head goes with every batch: billing then knows this end, whatever becomes of the file here
             List<String> all = new java.util.ArrayList<>(lines);
-            all.add(Head.of(Sealed.parse(lines.get(lines.size() - 1))).line(keys));
+            all.add(heads.apply(Head.of(Sealed.parse(lines.get(lines.size() - 1)))).line(keys));
             call(HttpMethod.POST, path, Buffer.buffer(String.join("\n", all) + "\n")).onComplete(got -> {
                 if (stopped) return;
                 if (got.failed()) {
@@ -366,9 +406,8 @@
                     int last = (int) (next - s.from()) - 1;
                     boolean same = last < 0 || last >= lines.size()
                         || Sealed.parse(lines.get(last)).mac().equals(n.path("mac").asText());
-                    boolean ours = n.path("generation").asText().equals(s.generation()) && n.path("number").asLong() == s.number();
-                    if (!ours) throw new IOException("an answer to another batch");
-                    outbox.acknowledged(s.generation(), s.number(), next, same);
+                    if (!n.path("generation").asText().equals(s.generation())) throw new IOException("an answer to another batch");
+                    outbox.acknowledged(s.generation(), next, same);
                     export();
                 } catch (IOException x) {
                     failed(x);
@@ -380,7 +419,7 @@
     // ---- the end ----
 
     public Counts counts() {
-        return new Counts(entries, clerk.backlog(), clerk.unsettled(), clerk.givenUp(), clerk.heldBack(), outbox.waiting(),
+        return new Counts(entries, clerk.backlog(), clerk.unsettled(), clerk.givenUp(), clerk.heldBack(), letGo, outbox.waiting(),
             outbox.barred());
     }
 
--- a/src/main/java/trestleline/cli/LedgerCommand.java
+++ b/src/main/java/trestleline/cli/LedgerCommand.java
@@ -19,6 +19,8 @@
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
 import trestleline.config.ConfigException;
+import trestleline.ledger.Base;
+import trestleline.ledger.Compaction;
 import trestleline.ledger.Entry;
 import trestleline.ledger.Head;
 import trestleline.ledger.Keys;
@@ -55,15 +57,20 @@
         if (!Files.isRegularFile(file)) throw new ConfigException(file.toString(), List.of("is no file"));
         List<String> all = new ArrayList<>();
         try (var store = new MvStoreLedger(file)) {
+            if (store.base() != null) all.add(store.base());
             store.scan(all::add);
             all.addAll(store.anchors());
         }
         return all;
     }
 
-    /** Its entries alone, without the heads beside them. */
+    private static boolean isEntry(String line) {
+        return !Head.looksLike(line) && !Base.looksLike(line);
+    }
+
+    /** Its entries alone, without the heads beside them and the base before them. */
     private static List<String> entries(Path file) throws IOException {
-        return lines(file).stream().filter(l -> !Head.looksLike(l)).toList();
+        return lines(file).stream().filter(LedgerCommand::isEntry).toList();
     }
 
     private static Entry entry(String line) {
@@ -113,13 +120,13 @@
         List<String> lines = lines(file), all = new ArrayList<>(lines);
         Map<String, Head> heads = new LinkedHashMap<>();
         for (String line : lines) {
-            if (Head.looksLike(line)) continue;
+            if (!isEntry(line)) continue;
             Head h = Head.of(Sealed.parse(line));
             heads.put(h.chain(), h);
         }
         heads.values().forEach(h -> all.add(h.line(k)));
         Files.write(to, all);
-        out().println(lines.stream().filter(l -> !Head.looksLike(l)).count() + " entries written to " + to);
+        out().println(lines.stream().filter(LedgerCommand::isEntry).count() + " entries written to " + to);
         return 0;
     }
 
@@ -127,7 +134,15 @@
     int periods(@Parameters(paramLabel = "LEDGER") Path file, @Option(names = "--json") boolean json) throws IOException {
         Map<Long, Totals> byPeriod = new java.util.TreeMap<>();
         Map<Long, String> closed = new LinkedHashMap<>();
-        for (String line : entries(file)) {
+        for (String line : lines(file)) {
+            if (Base.looksLike(line)) {
+                Base b = Base.parse(line);
+                b.starts().forEach((p, by) -> {
+                    byPeriod.computeIfAbsent(p, x -> new Totals()).take(new Base(b.gateway(), Map.of(), Map.of(p, by), 0, List.of()));
+                    closed.put(p, "let go");
+                });
+            }
+            if (!isEntry(line)) continue;
             Entry e = entry(line);
             if (e.kind() == Entry.Kind.CLOSE) closed.put(e.period(), e.place());
             else byPeriod.computeIfAbsent(e.period(), p -> new Totals()).take(e);
@@ -173,6 +188,55 @@
         return 0;
     }
 
+    @Command(name = "compact", mixinStandardHelpOptions = true, description = "Lets old entries go; their totals, seals and unsettled "
+        + "intents stay as a signed base. The gateway must not be running; a running one does it by ledger.keepPeriods.")
+    int compact(@Parameters(paramLabel = "LEDGER") Path file, @Option(names = "--keys", required = true) Path keys,
+                @Option(names = "--keep", required = true, paramLabel = "N", description = "closed periods kept whole") int keep,
+                @Option(names = "--period", paramLabel = "SECONDS", description = "as the gateway's ledger.periodS (3600)",
+                    defaultValue = "3600") double periodS,
+                @Option(names = "--ask-for", paramLabel = "SECONDS", description = "as its ledger.askForMs (600)", defaultValue = "600")
+                double askForS,
+                @Option(names = "--heads", paramLabel = "FILE", description = "heads from billing: only what they prove to be there "
+                    + "goes") Path heads,
+                @Option(names = "--unsent", description = "there is no billing that could lack what goes") boolean unsent) throws IOException {
+        if (keep < 0 || periodS <= 0 || askForS < 0) throw new ConfigException("--keep, --period, --ask-for", List.of("expected 0 or more"));
+        if (unsent == (heads != null)) throw new ConfigException("--heads", List.of("is needed, or --unsent in its place"));
+        Keys k = keys(keys);
+        List<String> all = lines(file);
+        if (all.isEmpty()) throw new ConfigException(file.toString(), List.of("holds no ledger entry"));
+        List<Sealed.Fault> faults = Sealed.verify(k, all);
+        if (!faults.isEmpty()) {
+            throw new ConfigException(file.toString(), List.of("is not sound, nothing was let go: " + faults.get(0).place() + " "
+                + faults.get(0).what()));
+        }
+        Map<String, Long> held = unsent ? null : acknowledged(k, heads);
+        try (var store = new MvStoreLedger(file)) {
+            List<String> lines = store.oldest(Integer.MAX_VALUE);
+            Base base = store.base() == null ? Base.NONE : Base.read(k, store.base());
+            long closed = base.with(lines).closed();
+            double newest = lines.stream().mapToDouble(l -> entry(l).eventAt()).max().orElse(0);
+            int n = Compaction.cut(new Compaction.Terms(periodS * 1000, keep, askForS * 1000), lines, false, closed, newest, held);
+            if (n > 0) store.compact(base.with(lines.subList(0, n)).line(k), n);
+            out().println(n + " entries let go, " + store.size() + " kept");
+        }
+        return 0;
+    }
+
+    /** By generation, how many entries billing holds, as its heads prove. */
+    private static Map<String, Long> acknowledged(Keys keys, Path file) throws IOException {
+        Map<String, Long> all = new LinkedHashMap<>();
+        for (String line : exported(file)) {
+            if (!Head.looksLike(line)) continue;
+            try {
+                Head h = Head.read(keys, line);
+                all.merge(h.generation(), h.seq() + 1, Math::max);
+            } catch (IllegalArgumentException e) {
+                throw new ConfigException(file.toString(), List.of(e.getMessage()));
+            }
+        }
+        return all;
+    }
+
     @Command(name = "reconcile", mixinStandardHelpOptions = true, description = "Sets exported ledgers against each other; "
         + "names gaps, forks, doubles, stale copies and ends that no head reaches. Exit 1 when there are any.")
     int reconcile(@Parameters(paramLabel = "FILES", arity = "1..*") List<Path> files,
@@ -187,7 +251,7 @@
     private static List<String> exported(Path f) throws IOException {
         if (!Files.isRegularFile(f)) throw new ConfigException(f.toString(), List.of("is no file"));
         List<String> lines = Files.readAllLines(f, java.nio.charset.StandardCharsets.ISO_8859_1);
-        boolean any = lines.stream().anyMatch(l -> Head.looksLike(l) || l.matches("\\S+ [0-9a-f]{64} \\{.*"));
+        boolean any = lines.stream().anyMatch(l -> Head.looksLike(l) || Base.looksLike(l) || l.matches("\\S+ [0-9a-f]{64} \\{.*"));
         if (!any) throw new ConfigException(f.toString(), List.of("holds no ledger entry and no head"));
         return Files.readAllLines(f);
     }
--- a/src/main/java/trestleline/config/GatewayConfig.java
+++ b/src/main/java/trestleline/config/GatewayConfig.java
@@ -38,11 +38,11 @@
 
     /**
      * The billing ledger: its file and the file of its keys, both empty for none; {@code desk} where it is exported to, empty
-     * for nowhere.
+     * for nowhere; {@code keepPeriods} closed periods kept whole, below 0 all.
      */
     public record Ledger(String file, String keys, String desk, double periodS, double latenessS, int backlog, double slowMs,
                          double askFromMs, double askToMs, double askForMs, int open, int batch, double backoffFrom,
-                         double backoffTo, int budget, double windowMs) {
+                         double backoffTo, int budget, double windowMs, int keepPeriods) {
         public boolean kept() {
             return !file.isEmpty();
         }
@@ -99,7 +99,8 @@
             l.whole("backlog", 1, 1_000_000, 1000), l.num("slowMs", 1, INF, 500), l.num("askFromMs", 1, INF, 200),
             l.num("askToMs", 1, INF, 10_000), l.num("askForMs", 1, INF, 600_000), l.whole("open", 1, 1_000_000, 5000),
             l.whole("batch", 1, 100_000, 500), l.num("backoffFrom", 1, INF, 100), l.num("backoffTo", 1, INF, 10_000),
-            l.whole("budget", 1, 1_000_000, 600), l.num("windowMs", 1, INF, 60_000));
+            l.whole("budget", 1, 1_000_000, 600), l.num("windowMs", 1, INF, 60_000),
+            l.whole("keepPeriods", 0, 1_000_000, -1));
     }
 
     /** What viewers may make the gateway hold; a quarter of the heap unless told. Beyond what the heap bears it is refused. */
--- a/src/main/java/trestleline/daemon/Ledgers.java
+++ b/src/main/java/trestleline/daemon/Ledgers.java
@@ -9,6 +9,7 @@
 import trestleline.config.GatewayConfig;
 import trestleline.hosts.Receipts;
 import trestleline.ledger.Clerk;
+import trestleline.ledger.Compaction;
 import trestleline.ledger.Keys;
 import trestleline.ledger.Outbox;
 import trestleline.ledger.store.Store;
@@ -36,8 +37,9 @@
         var clerk = new Clerk.Terms(l.periodS() * 1000, l.latenessS() * 1000, l.backlog(), l.slowMs(), l.askFromMs(),
             l.askToMs(), l.askForMs(), l.open());
         var outbox = new Outbox.Terms(l.batch(), l.backoffFrom(), l.backoffTo(), l.budget(), l.windowMs());
-        var settings = new LedgerKeeper.Settings(Integer.toString(config.settings().me()), generation, l.desk(), clerk);
+        var settings = new LedgerKeeper.Settings(Integer.toString(config.settings().me()), generation, l.desk(), clerk,
+            l.keepPeriods() < 0 ? null : new Compaction.Terms(l.periodS() * 1000, l.keepPeriods(), l.askForMs()));
         return new LedgerKeeper(vertx, settings, opened.keys(), seams.store(opened.store()), seams.outbox(outbox, seed),
-            seams.receipts(hosts), clock);
+            seams.receipts(hosts), clock, seams::head);
     }
 }
--- a/src/main/java/trestleline/daemon/Seams.java
+++ b/src/main/java/trestleline/daemon/Seams.java
@@ -9,6 +9,7 @@
 import trestleline.core.LastCheck;
 import trestleline.core.Timers;
 import trestleline.hosts.Receipts;
+import trestleline.ledger.Head;
 import trestleline.ledger.Outbox;
 import trestleline.ledger.store.Store;
 
@@ -63,6 +64,11 @@
         return real;
     }
 
+    /** What a signed head says. */
+    default Head head(Head real) {
+        return real;
+    }
+
     default Outbox outbox(Outbox.Terms terms, long seed) {
         return new Outbox(terms, seed);
     }
--- a/src/main/java/trestleline/ledger/Anchors.java
+++ b/src/main/java/trestleline/ledger/Anchors.java
@@ -33,18 +33,22 @@
     }
 
     /** What the heads say of chains: entries by sequence, for each {@code GATEWAY/GENERATION}. */
-    List<Reconciliation.Finding> against(Map<String, TreeMap<Long, Sealed>> chains) {
+    List<Reconciliation.Finding> against(Map<String, TreeMap<Long, Sealed>> chains, List<Base> bases) {
         List<Reconciliation.Finding> found = new ArrayList<>();
+        Map<String, Base.End> stood = new TreeMap<>();
+        for (Base b : bases) b.ends().forEach((g, e) -> stood.merge(b.gateway() + "/" + g, e, (x, y) -> x.next() >= y.next() ? x : y));
         seen.forEach((chain, anchors) -> {
             TreeMap<Long, Sealed> held = chains.getOrDefault(chain, new TreeMap<>());
             for (Anchor a : anchors) {
                 Sealed at = held.get(a.seq());
-                if (at != null && !at.mac().equals(a.seal())) {
+                Base.End end = stood.get(chain);
+                String seal = at != null ? at.mac() : end != null && end.next() == a.seq() + 1 ? end.seal() : null;
+                if (seal != null && !seal.equals(a.seal())) {
                     found.add(new Reconciliation.Finding("fork", chain + ":" + a.seq(), a.from() + " knows another history"));
                 }
             }
             Anchor newest = anchors.stream().max(java.util.Comparator.comparingLong(Anchor::seq)).orElseThrow();
-            long last = held.isEmpty() ? -1 : held.lastKey();
+            long last = Math.max(held.isEmpty() ? -1 : held.lastKey(), stood.containsKey(chain) ? stood.get(chain).next() - 1 : -1);
             if (newest.seq() > last) {
                 found.add(new Reconciliation.Finding("gap", chain + ":" + (last + 1), "missing up to " + newest.seq()
                     + ", which " + newest.from() + " proves to have existed"));
--- a/src/main/java/trestleline/ledger/Clerk.java
+++ b/src/main/java/trestleline/ledger/Clerk.java
@@ -85,6 +85,12 @@
         }
     }
 
+    /** Takes what stays of entries let go, before any stored one. */
+    public void recover(Base b) {
+        lastClosed = Math.max(lastClosed, b.closed());
+        for (String line : b.open()) recover(Entry.decode(Sealed.parse(line).text()));
+    }
+
     private void settled(Entry e) {
         items.remove(e.attempt());
         count(e.period(), e.tenant(), e.service(), e.amount());
@@ -248,6 +254,11 @@
         return entry(Entry.Kind.CLOSE, "", "", new Paid("", "", "", 0, 0, ""), first, (long) now, 0, note, now);
     }
 
+    /** The last period closed; {@code Long.MIN_VALUE}: none. */
+    public long lastClosed() {
+        return lastClosed;
+    }
+
     /** Totals of a period not yet closed, by {@code TENANT/CLASS}. */
     public Map<String, Integer> totals(long period) {
         return Map.copyOf(totals.getOrDefault(period, Map.of()));
--- a/src/main/java/trestleline/ledger/Outbox.java
+++ b/src/main/java/trestleline/ledger/Outbox.java
@@ -22,16 +22,16 @@
     public record AskCursor() implements Step { }
 
     /** Send entries {@code from} (included) to {@code to} (excluded). */
-    public record Send(String generation, long number, long from, long to) implements Step { }
+    public record Send(String generation, long from, long to) implements Step { }
 
     /** Nothing before this time. */
     public record Rest(double until) implements Step { }
 
     /** What stands in the way of a generation. */
-    public enum Bar { NONE, STALE, FORK }
+    public enum Bar { NONE, STALE, FORK, LET_GO }
 
     private static final class Chain {
-        long local, desk, number;
+        long local, desk, base;
         Bar bar = Bar.NONE;
         boolean asked;
     }
@@ -56,6 +56,20 @@
         c.local = Math.max(c.local, count);
     }
 
+    /** Entries of a generation before this one were let go here. */
+    public void letGo(String generation, long next) {
+        Chain c = chains.computeIfAbsent(generation, g -> new Chain());
+        c.base = Math.max(c.base, next);
+        c.local = Math.max(c.local, next);
+    }
+
+    /** What billing holds, by generation; of a generation that may not be sent nothing is known to be held. */
+    public Map<String, Long> acknowledged() {
+        Map<String, Long> all = new LinkedHashMap<>();
+        chains.forEach((g, c) -> all.put(g, c.bar == Bar.NONE && known ? c.desk : 0L));
+        return all;
+    }
+
     /** What to do now. After anything but {@link Rest} one of the answers below must follow. */
     public Step next(double now) {
         if (out) return new Rest(Double.POSITIVE_INFINITY);
@@ -66,7 +80,7 @@
         for (Map.Entry<String, Chain> e : chains.entrySet()) {
             Chain c = e.getValue();
             if (c.bar != Bar.NONE || c.desk >= c.local) continue;
-            current = new Send(e.getKey(), c.number, c.desk, Math.min(c.local, c.desk + terms.batch()));
+            current = new Send(e.getKey(), c.desk, Math.min(c.local, c.desk + terms.batch()));
             return go(current, now);
         }
         return new Rest(Double.POSITIVE_INFINITY);
@@ -89,21 +103,29 @@
         else c.desk = next;
     }
 
+    /** A desk that came back from an old copy may lack what was let go here. */
+    private void lacking() {
+        for (Chain c : chains.values()) if (c.bar == Bar.NONE && c.desk < c.base) c.bar = Bar.LET_GO;
+    }
+
     /** The desk has told of all generations. */
     public void cursorsDone() {
+        lacking();
         out = false;
         known = true;
         failures = 0;
     }
 
-    /** An acknowledgement; one for another batch or generation than the one out counts for nothing. */
-    public void acknowledged(String generation, long number, long next, boolean same) {
-        if (current == null || !current.generation().equals(generation) || current.number() != number) return;
+    /**
+     * An acknowledgement; one for another generation than the one out counts for nothing. A late one of an earlier batch says
+     * less than is known, and moves nothing: a batch needs no name but its sequences.
+     */
+    public void acknowledged(String generation, long next, boolean same) {
+        if (current == null || !current.generation().equals(generation)) return;
         Chain c = chains.get(generation);
         if (!same) c.bar = Bar.FORK;
         else if (next > c.local) c.bar = Bar.STALE;
         else if (next >= c.desk) c.desk = next;
-        if (next > current.from()) c.number++;
         current = null;
         out = false;
         failures = 0;
--- a/src/main/java/trestleline/ledger/Reconciliation.java
+++ b/src/main/java/trestleline/ledger/Reconciliation.java
@@ -24,12 +24,23 @@
         Map<String, TreeMap<Long, Sealed>> chains = new TreeMap<>();
         Map<String, Map<String, Long>> reach = new TreeMap<>();
         var anchors = new Anchors();
+        List<Base> bases = new ArrayList<>();
         files.forEach((name, lines) -> {
             for (Sealed.Fault f : Sealed.verify(keys, lines)) {
                 boolean gap = f.what().startsWith("missing");
                 findings.add(new Finding(gap ? "gap" : "fault", name + " " + f.place(), f.what()));
             }
             for (String line : lines) {
+                if (Base.looksLike(line)) {
+                    try {
+                        bases.add(Base.read(keys, line));
+                    } catch (IllegalArgumentException x) {
+                        continue; // told as a fault above
+                    }
+                    Base b = bases.get(bases.size() - 1);
+                    b.ends().forEach((g, end) -> reach.computeIfAbsent(b.gateway() + "/" + g, c -> new TreeMap<>()).merge(name, end.next(), Math::max));
+                    continue;
+                }
                 if (Head.looksLike(line)) {
                     try {
                         anchors.head(Head.read(keys, line), name);
@@ -62,9 +73,13 @@
         });
         var totals = new Totals();
         int entries = 0;
+        Map<String, Base> standing = standing(bases, chains, findings);
+        standing.values().forEach(totals::take);
         for (Map.Entry<String, TreeMap<Long, Sealed>> c : chains.entrySet()) {
             for (Sealed s : c.getValue().values()) {
                 Entry e = Entry.decode(s.text());
+                Base base = standing.get(e.gateway());
+                if (base != null && e.seq() < base.next(e.generation())) continue; // the base tells of it
                 entries++;
                 totals.take(e);
                 if (e.kind() == Entry.Kind.START) {
@@ -73,11 +88,33 @@
                 }
             }
         }
-        findings.addAll(anchors.against(chains));
+        findings.addAll(anchors.against(chains, bases));
         for (String d : totals.doubles()) findings.add(new Finding("double", d, "an attempt already counted; counts once"));
         return new Result(findings, totals, entries);
     }
 
+    /**
+     * By gateway, the base that tells of what no file holds whole any more: the one that stands for most. Where other files hold
+     * all that it stands for, none. A base whose seal is not the one of the entry there is another history.
+     */
+    private static Map<String, Base> standing(List<Base> bases, Map<String, TreeMap<Long, Sealed>> chains, List<Finding> findings) {
+        Map<String, Base> all = new TreeMap<>();
+        for (Base b : bases) {
+            boolean told = true;
+            for (Map.Entry<String, Base.End> e : b.ends().entrySet()) {
+                String chain = b.gateway() + "/" + e.getKey();
+                TreeMap<Long, Sealed> held = chains.getOrDefault(chain, new TreeMap<>());
+                Sealed last = held.get(e.getValue().next() - 1);
+                if (last != null && !last.mac().equals(e.getValue().seal())) {
+                    findings.add(new Finding("fork", chain + ":" + (e.getValue().next() - 1), "a base stands for another history"));
+                }
+                told &= held.headMap(e.getValue().next()).size() == e.getValue().next();
+            }
+            if (!told) all.merge(b.gateway(), b, (x, y) -> x.entries() >= y.entries() ? x : y);
+        }
+        return all;
+    }
+
     /** A generation that follows another in its middle was started from an old copy. */
     private static void follows(String chain, Entry start, Map<String, TreeMap<Long, Sealed>> chains, List<Finding> findings) {
         String[] part = start.note().split(":");
--- a/src/main/java/trestleline/ledger/Sealed.java
+++ b/src/main/java/trestleline/ledger/Sealed.java
@@ -42,6 +42,17 @@
         for (String line : lines) {
             n++;
             if (Head.looksLike(line)) continue; // not of the chain: see Anchors
+            if (Base.looksLike(line)) {
+                try {
+                    Base b = Base.read(keys, line);
+                    b.ends().forEach((g, end) -> {
+                        if (next.merge(b.gateway() + "/" + g, end.next(), Math::max) == end.next()) head.put(b.gateway() + "/" + g, end.seal());
+                    });
+                } catch (IllegalArgumentException x) {
+                    faults.add(new Fault("line " + n, x.getMessage()));
+                }
+                continue;
+            }
             Sealed s;
             Entry e;
             try {
--- a/src/main/java/trestleline/ledger/Totals.java
+++ b/src/main/java/trestleline/ledger/Totals.java
@@ -9,6 +9,7 @@
 /** Paid starts by tenant, from entries: each attempt counts once, whoever tells of it and how often. */
 public final class Totals {
     private final Map<String, Entry> counted = new HashMap<>();
+    private final Map<String, Long> before = new TreeMap<>();
     private final List<String> doubles = new ArrayList<>();
 
     /** Takes one entry; the order within a generation matters, that of generations does not. */
@@ -17,6 +18,11 @@
         if (e.amount() < 0) counted.remove(e.attempt());
     }
 
+    /** Takes what entries let go came to. */
+    public void take(Base b) {
+        b.starts().values().forEach(by -> by.forEach((who, n) -> before.merge(who, n, Long::sum)));
+    }
+
     /** By tenant. */
     public Map<String, Long> byTenant() {
         return by(false);
@@ -29,11 +35,12 @@
 
     private Map<String, Long> by(boolean service) {
         Map<String, Long> all = new TreeMap<>();
+        before.forEach((who, n) -> all.merge(service ? who : who.substring(0, who.indexOf('/')), n, Long::sum));
         counted.values().forEach(e -> all.merge(service ? e.tenant() + "/" + e.service() : e.tenant(), 1L, Long::sum));
         return all;
     }
 
-    /** Attempts that count. */
+    /** Attempts that count, as far as their entries are still there. */
     public java.util.Set<String> attempts() {
         return counted.keySet();
     }
--- a/src/main/java/trestleline/ledger/store/MvStoreLedger.java
+++ b/src/main/java/trestleline/ledger/store/MvStoreLedger.java
@@ -11,6 +11,7 @@
 import org.h2.mvstore.MVMap;
 import org.h2.mvstore.MVStore;
 import org.h2.mvstore.MVStoreException;
+import trestleline.ledger.Base;
 import trestleline.ledger.Entry;
 import trestleline.ledger.Sealed;
 
@@ -22,7 +23,7 @@
 public final class MvStoreLedger implements Store {
     private final MVStore store;
     private final MVMap<Long, String> lines;
-    private final MVMap<String, String> heads;
+    private final MVMap<String, String> heads, bases;
     private final Map<String, List<long[]>> places = new LinkedHashMap<>();
     private final Map<String, Long> next = new LinkedHashMap<>();
     private long end;
@@ -36,15 +37,26 @@
             store.setVersionsToKeep(0);
             lines = store.openMap("lines");
             heads = store.openMap("heads");
+            bases = store.openMap("base");
         } catch (MVStoreException e) {
             throw new IOException(file + ": " + e.getMessage(), e);
         }
+        stands();
         for (var c = lines.cursor(null); c.hasNext();) {
             long at = c.next();
             index(at, Entry.decode(Sealed.parse(c.getValue()).text()));
         }
     }
 
+    /** What the base says of generations, all of whose entries may be gone. */
+    private void stands() {
+        if (base() == null) return;
+        Base.parse(base()).ends().forEach((g, e) -> {
+            places.computeIfAbsent(g, x -> new ArrayList<>());
+            next.merge(g, e.next(), Math::max);
+        });
+    }
+
     /** Runs of consecutive sequences at consecutive positions: {position, sequence, count}. */
     private void index(long at, Entry e) {
         List<long[]> runs = places.computeIfAbsent(e.generation(), g -> new ArrayList<>());
@@ -71,6 +83,46 @@
         }
     }
 
+    @Override
+    public String base() {
+        return bases.get("base");
+    }
+
+    @Override
+    public List<String> oldest(int most) {
+        List<String> all = new ArrayList<>();
+        for (var c = lines.cursor(null); c.hasNext() && all.size() < most;) {
+            c.next();
+            all.add(c.getValue());
+        }
+        return all;
+    }
+
+    @Override
+    public void compact(String base, int count) throws IOException {
+        try {
+            List<Long> gone = new ArrayList<>();
+            for (var c = lines.cursor(null); c.hasNext() && gone.size() < count;) gone.add(c.next());
+            bases.put("base", base);
+            gone.forEach(lines::remove);
+            store.commit();
+            store.sync();
+            long first = gone.isEmpty() ? 0 : gone.get(gone.size() - 1) + 1;
+            for (List<long[]> runs : places.values()) {
+                for (long[] run : runs) {
+                    long cut = Math.max(0, Math.min(run[2], first - run[0]));
+                    run[0] += cut;
+                    run[1] += cut;
+                    run[2] -= cut;
+                }
+                runs.removeIf(run -> run[2] == 0);
+            }
+            stands();
+        } catch (MVStoreException e) {
+            throw new IOException(e.getMessage(), e);
+        }
+    }
+
     @Override
     public long size() {
         return lines.sizeAsLong();
--- a/src/main/java/trestleline/ledger/store/Store.java
+++ b/src/main/java/trestleline/ledger/store/Store.java
@@ -9,16 +9,25 @@
     /** Adds lines; when it returns they survive any crash. When it throws, all, some or none of them may be there. */
     void append(List<String> lines) throws IOException;
 
-    /** Lines stored, after bases; see {@link #compact}. */
+    /** Lines stored, those let go not counted. */
     long size();
 
+    /** The line of the {@link trestleline.ledger.Base} that stands for what was let go, or null. */
+    String base();
+
+    /** Lets the oldest so many lines go, and the base too: another stands for all of them. At once: a crash leaves all or nothing of it. */
+    void compact(String base, int lines) throws IOException;
+
+    /** The oldest lines after the base, so many at most. */
+    List<String> oldest(int most) throws IOException;
+
     /** Every line in the order stored. */
     void scan(Consumer<String> line) throws IOException;
 
     /** Lines {@code from} (included) to {@code to} (excluded) of one generation, fewer if there are fewer. */
     List<String> range(String generation, long from, long to) throws IOException;
 
-    /** Entries of a generation: its next sequence. */
+    /** A generation's next sequence. */
     long next(String generation);
 
     /** Generations in the order of their starts. */
--- a/src/main/java/trestleline/measure/LedgerCost.java
+++ b/src/main/java/trestleline/measure/LedgerCost.java
@@ -130,7 +130,7 @@
             mine.runOnContext(v -> {
                 var hosts = new HostClient(mine, Measurement.settings("http://127.0.0.1:1/").settings(), 1000, clock);
                 keeper[0] = new LedgerKeeper(mine, new LedgerKeeper.Settings("0", "x", desk.url(),
-                    new Clerk.Terms(3.6e6, 6e4, 1000, 500, 200, 1e4, 6e5, 5000)), KEYS, store, new Outbox(new Outbox.Terms(2000, 50, 1000, 1_000_000, 1000), 1), hosts, clock);
+                    new Clerk.Terms(3.6e6, 6e4, 1000, 500, 200, 1e4, 6e5, 5000), null), KEYS, store, new Outbox(new Outbox.Terms(2000, 50, 1000, 1_000_000, 1000), 1), hosts, clock, h -> h);
                 keeper[0].start().onComplete(x -> started.complete(null));
             });
             started.get(300, TimeUnit.SECONDS);
--- a/src/main/java/trestleline/rehearsal/LedgerResult.java
+++ b/src/main/java/trestleline/rehearsal/LedgerResult.java
@@ -1,11 +1,15 @@
 package trestleline.rehearsal;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import trestleline.ledger.Keys;
+import trestleline.ledger.Reconciliation;
 import trestleline.ledger.Totals;
 import trestleline.standin.BillingDesk;
 import trestleline.standin.MediaHost;
@@ -14,8 +18,10 @@
  * What billing holds against what ran at the hosts, by tenant. {@code difference}: attempts that only one of them has.
  */
 public record LedgerResult(Map<String, Long> exported, Map<String, Long> seen, int difference, int onlyExported,
-                           int onlySeen, String desk) {
-    static LedgerResult of(Fleet fleet, BillingDesk desk) {
+                           int onlySeen, String desk, List<Reconciliation.Finding> findings) {
+    private static final Set<String> RIGHTFUL = Set.of("stale", "double");
+
+    static LedgerResult of(Fleet fleet, BillingDesk desk, Keys keys) {
         Map<String, String> ran = new HashMap<>();
         for (MediaHost h : fleet.hosts()) ran.putAll(h.ran());
         Map<String, Long> seen = new TreeMap<>();
@@ -25,16 +31,36 @@
         onlyExported.removeAll(ran.keySet());
         onlySeen.removeAll(totals.attempts());
         return new LedgerResult(totals.byTenant(), seen, onlyExported.size() + onlySeen.size(), onlyExported.size(),
-            onlySeen.size(), desk.counts() + ", " + totals.doubles().size() + " doubles counted once");
+            onlySeen.size(), desk.counts() + ", " + totals.doubles().size() + " doubles counted once", audit(desk, keys));
+    }
+
+    /**
+     * What billing's auditor finds in what the desk holds, heads included: gaps, forks, faults and ends that nothing anchors. A copy
+     * that came back, and what it tells a second time, are what a day does on purpose.
+     */
+    private static List<Reconciliation.Finding> audit(BillingDesk desk, Keys keys) {
+        Map<String, List<String>> held = new TreeMap<>();
+        for (String g : desk.gateways()) {
+            List<String> lines = new ArrayList<>(desk.lines(g));
+            lines.addAll(desk.heads(g));
+            held.put(g, lines);
+        }
+        return Reconciliation.of(keys, held).findings().stream().filter(f -> !RIGHTFUL.contains(f.kind())).toList();
     }
 
-    /** To the entry, and by tenant. */
+    /** To the entry, and by tenant, and held by the desk as it should be. */
     public boolean same() {
-        return difference == 0 && exported.equals(seen);
+        return difference == 0 && exported.equals(seen) && findings.isEmpty();
+    }
+
+    /** How much differs: attempts that only one side has, and what an audit finds. */
+    public int differs() {
+        return difference + findings.size();
     }
 
     String text() {
         return String.format(Locale.ROOT, "ledger: exported %s, seen at hosts %s: %s (%s)%n", exported, seen, same() ? "equal"
-            : "DIFFERENT by " + difference + ", only exported " + onlyExported + ", only seen " + onlySeen, desk);
+            : "DIFFERENT by " + difference + ", only exported " + onlyExported + ", only seen " + onlySeen
+                + (findings.isEmpty() ? "" : ", found " + findings.size() + ", the first " + findings.get(0)), desk);
     }
 }
--- a/src/main/java/trestleline/rehearsal/Rehearsal.java
+++ b/src/main/java/trestleline/rehearsal/Rehearsal.java
@@ -25,6 +25,7 @@
 import trestleline.judge.Judge;
 import trestleline.judge.Seen;
 import trestleline.judge.Verdict;
+import trestleline.ledger.Keys;
 import trestleline.standin.BillingDesk;
 import trestleline.standin.MediaHost;
 import trestleline.standin.Trace;
@@ -88,7 +89,7 @@
             if (day.ledger()) {
                 desk = new BillingDesk(vertx, day.seed() * 31 + 3);
                 wait(desk.start(), 10);
-                Files.writeString(dir.resolve("keys"), "day " + HexFormat.of().toHexDigits(day.seed()).repeat(2) + "\n");
+                Files.writeString(dir.resolve("keys"), keyFile(day));
             }
             for (int g = 0; g < day.gateways(); g++) {
                 String url = fleet.feed().url(Integer.toString(g)), saved = dir.resolve("list-" + g).toString();
@@ -157,6 +158,14 @@
         });
     }
 
+    private static String keyFile(Day day) {
+        return "day " + HexFormat.of().toHexDigits(day.seed()).repeat(2) + "\n";
+    }
+
+    private static Keys keys(Day day) {
+        return Keys.read(keyFile(day));
+    }
+
     static Path ledgerFile(Path dir, int gateway) {
         return dir.resolve("ledger-" + gateway);
     }
@@ -169,7 +178,7 @@
             Promise<LedgerResult> p = Promise.promise();
             vertx.runOnContext(v -> {
                 desk.faults(0);
-                p.complete(LedgerResult.of(fleet, desk));
+                p.complete(LedgerResult.of(fleet, desk, keys(day)));
             });
             LedgerResult r = wait(p.future(), 10);
             if (r.same() || System.nanoTime() > until) return r;
--- a/src/main/java/trestleline/rehearsal/Report.java
+++ b/src/main/java/trestleline/rehearsal/Report.java
@@ -56,7 +56,7 @@
                 .put("occasions", verdict.looked(r)).put("witness", verdict.witness(r));
         }
         if (ledger != null) {
-            n.putObject("ledger").put("difference", ledger.difference()).put("deskCounts", ledger.desk())
+            n.putObject("ledger").put("difference", ledger.difference()).put("findings", ledger.findings().size()).put("deskCounts", ledger.desk())
                 .putPOJO("exported", ledger.exported()).putPOJO("seen", ledger.seen());
         }
         return n.toPrettyString();
--- a/src/main/java/trestleline/standin/BillingDesk.java
+++ b/src/main/java/trestleline/standin/BillingDesk.java
@@ -102,12 +102,11 @@
         String[] lines = java.util.Arrays.stream(sent).filter(l -> !Head.looksLike(l)).toArray(String[]::new);
         HttpServerResponse response = request.response();
         String generation = request.getParam("generation");
-        long from, number;
+        long from;
         try {
             from = Long.parseLong(request.getParam("from"));
-            number = Long.parseLong(request.getParam("number"));
         } catch (NumberFormatException e) {
-            response.setStatusCode(400).end("from, number: expected whole numbers\n");
+            response.setStatusCode(400).end("from: expected a whole number\n");
             return;
         }
         batches++;
@@ -130,7 +129,7 @@
             return;
         }
         if (how == 4) return; // taken, and hangs
-        JsonObject answer = new JsonObject().put("generation", generation).put("number", how == 5 ? number + 7 : number)
+        JsonObject answer = new JsonObject().put("generation", how == 5 ? "another" : generation)
             .put("next", chain.size()).put("mac", chain.isEmpty() ? "" : Sealed.parse(chain.get(chain.size() - 1)).mac());
         if (problem != null) {
             refused++;
--- a/src/test/java/trestleline/cli/CommandLineTest.java
+++ b/src/test/java/trestleline/cli/CommandLineTest.java
@@ -77,6 +77,41 @@
         return file;
     }
 
+    @Test
+    void oldEntriesGoOnlyWhenBillingHoldsThemAndTheLedgerIsSound() throws Exception {
+        Keys k = Keys.read(KEYS);
+        Path keys = Files.writeString(dir.resolve("keys"), KEYS), file = dir.resolve("old");
+        List<String> lines = new ArrayList<>();
+        String head = Sealed.NONE;
+        for (int i = 0; i < 12; i++) {
+            Entry.Kind kind = i == 0 ? Entry.Kind.START : i % 4 == 3 ? Entry.Kind.CLOSE : Entry.Kind.RAN;
+            Sealed s = Sealed.seal(k, head, new Entry("0", "g", i, kind, kind == Entry.Kind.RAN ? "0-g-" + i : "", "", "t", "paid", 1, 2, "h", i / 4,
+                3_600_000L * (i / 4) + i, kind == Entry.Kind.RAN ? 1 : 0, ""));
+            head = s.mac();
+            lines.add(s.line());
+        }
+        try (var store = new MvStoreLedger(file)) {
+            store.append(lines);
+        }
+        assertEquals(2, run("ledger", "compact", file, "--keys", keys, "--keep", "0"), "neither heads nor --unsent");
+        Path billing = Files.writeString(dir.resolve("held"), trestleline.ledger.Head.of(Sealed.parse(lines.get(2))).line(k) + "\n");
+        assertEquals(0, run("ledger", "compact", file, "--keys", keys, "--keep", "0", "--ask-for", "0", "--heads", billing), () -> out);
+        assertTrue(out.contains("3 entries let go, 9 kept"), out);
+        assertEquals(0, run("ledger", "compact", file, "--keys", keys, "--keep", "1", "--ask-for", "0", "--unsent"), () -> out);
+        assertTrue(out.contains("5 entries let go, 4 kept"), out);
+        assertEquals(0, run("ledger", "verify", file, "--keys", keys, "--open-end"), () -> out);
+        assertEquals(0, run("ledger", "periods", file));
+        assertTrue(out.contains("0 closed let go {t/paid=2}"), out);
+        assertTrue(out.contains("2 closed g:11 {t/paid=3}"), out);
+        Path export = dir.resolve("export-old");
+        assertEquals(0, run("ledger", "export", file, export, "--keys", keys));
+        assertEquals(0, run("ledger", "reconcile", export, "--keys", keys), () -> out);
+        assertTrue(out.contains("{t/paid=8}"), out);
+        assertEquals(2, run("ledger", "correct", file, "--keys", keys, "--entry", "g:1", "--amount", "-1", "--reason", "x"), "it is gone");
+        Path badKeys = Files.writeString(dir.resolve("other-keys"), KEYS.replace('4', '5'));
+        assertEquals(2, run("ledger", "compact", file, "--keys", badKeys, "--keep", "0", "--unsent"), "nothing goes of what is not sound");
+    }
+
     @Test
     void aLedgerIsShownVerifiedCorrectedAndReconciled() throws Exception {
         Path file = ledger("ledger", 6), keys = Files.writeString(dir.resolve("keys"), KEYS);
--- a/src/test/java/trestleline/convict/Bent.java
+++ b/src/test/java/trestleline/convict/Bent.java
@@ -15,6 +15,7 @@
 import trestleline.core.Outcome;
 import trestleline.core.Timers;
 import trestleline.daemon.Seams;
+import trestleline.ledger.Head;
 
 /** Ways to bend a real gateway at one of its seams; what is not bent is joined as it is. */
 final class Bent {
@@ -53,6 +54,15 @@
         };
     }
 
+    static Seams heads(UnaryOperator<Head> f) {
+        return new Seams() {
+            @Override
+            public Head head(Head real) {
+                return f.apply(real);
+            }
+        };
+    }
+
     static Seams timers(UnaryOperator<Timers> f) {
         return new Seams() {
             @Override
--- a/src/test/java/trestleline/convict/Convict.java
+++ b/src/test/java/trestleline/convict/Convict.java
@@ -49,7 +49,7 @@
 
     /** What one day says of one flaw: null, or a witness of its rule. */
     static String witness(Flaw flaw, Report r) {
-        if (flaw.rule == 7) return r.ledger().same() ? null : "ledger differs by " + r.ledger().difference();
+        if (flaw.rule == 7) return r.ledger().same() ? null : "ledger differs by " + r.ledger().differs();
         if (flaw.rule > 0) return r.verdict().witness(flaw.rule);
         if (!r.broken()) return null;
         return r.verdict().guilty().isEmpty() ? r.text() : r.verdict().witness(r.verdict().guilty().get(0));
--- a/src/test/java/trestleline/convict/Flaw.java
+++ b/src/test/java/trestleline/convict/Flaw.java
@@ -17,6 +17,7 @@
 import trestleline.core.Outcome;
 import trestleline.daemon.Seams;
 import trestleline.hosts.Receipts;
+import trestleline.ledger.Head;
 import trestleline.ledger.Outbox;
 import trestleline.ledger.store.Store;
 import trestleline.ledger.store.StoreThat;
@@ -215,7 +216,7 @@
                 @Override
                 public void failed(double now) {
                     if (out == null) super.failed(now);
-                    else acknowledged(out.generation(), out.number(), out.to(), true);
+                    else acknowledged(out.generation(), out.to(), true);
                     out = null;
                 }
 
@@ -226,6 +227,19 @@
             };
         }
     }),
+    HEAD_OF_THE_ENTRY_BEFORE(7, () -> Bent.heads(h -> h.seq() == 0 ? h : new Head(h.gateway(), h.generation(), h.seq() - 1, h.seal()))),
+    HEAD_ONE_BATCH_SHORT(7, () -> new Seams() {
+        private final java.util.Map<String, Head> newest = new java.util.HashMap<>(), before = new java.util.HashMap<>();
+
+        @Override
+        public synchronized Head head(Head real) {
+            Head was = newest.put(real.chain(), real);
+            if (was != null && was.seq() < real.seq()) before.put(real.chain(), was);
+            return before.getOrDefault(real.chain(), real);
+        }
+    }),
+    HEAD_PROMISES_THE_NEXT_ENTRY(7, () -> Bent.heads(h -> new Head(h.gateway(), h.generation(), h.seq() + 1, h.seal()))),
+    HEAD_NAMES_ANOTHER_GENERATION(7, () -> Bent.heads(h -> new Head(h.gateway(), "g", h.seq(), h.seal()))),
     SAFE_BEFORE_IT_IS_WRITTEN(7, () -> new Seams() {
         @Override
         public Store store(Store real) {
--- a/src/test/java/trestleline/ledger/LedgerTest.java
+++ b/src/test/java/trestleline/ledger/LedgerTest.java
@@ -289,10 +289,11 @@
                 long taken = random.nextInt(3) == 0 ? s.from() + random.nextInt((int) (s.to() - s.from()) + 1) : s.to();
                 if (random.nextInt(4) != 0) desk.put(s.generation(), Math.max(held, taken));
                 if (earlier != null && random.nextInt(3) == 0) {
-                    outbox.acknowledged(earlier.generation(), earlier.number() + 99, 999, true); // for another batch
+                    outbox.acknowledged("g0", 999, true); // for another generation
+                    outbox.acknowledged(s.generation(), held, true); // late, of what was held before
                 }
                 if (random.nextInt(3) == 0) outbox.failed(now); // the acknowledgement is lost
-                else outbox.acknowledged(s.generation(), s.number(), desk.getOrDefault(s.generation(), 0L), true);
+                else outbox.acknowledged(s.generation(), desk.getOrDefault(s.generation(), 0L), true);
                 earlier = s;
             } else if (step instanceof Outbox.Rest r && Double.isFinite(r.until())) {
                 now = Math.max(now, r.until());
@@ -312,7 +313,7 @@
         outbox.cursor("old", 9, true);
         outbox.cursor("forked", 4, false);
         outbox.cursorsDone();
-        assertEquals(new Outbox.Send("new", 0, 0, 3), outbox.next(1));
+        assertEquals(new Outbox.Send("new", 0, 3), outbox.next(1));
         assertEquals(Map.of("old", Outbox.Bar.STALE, "forked", Outbox.Bar.FORK), outbox.barred());
     }
 
--- /dev/null
+++ b/src/test/java/trestleline/ledger/store/CompactingChild.java
@@ -0,0 +1,25 @@
+package trestleline.ledger.store;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import trestleline.ledger.Base;
+import trestleline.ledger.Keys;
+
+/** A process that lets a ledger's entries go a few at a time, and says so, until it is killed. */
+final class CompactingChild {
+    private CompactingChild() { }
+
+    public static void main(String[] args) throws IOException {
+        Keys keys = Keys.read(StoreTest.KEYS);
+        try (var store = new MvStoreLedger(Path.of(args[0]))) {
+            while (store.size() > 20) {
+                List<String> oldest = store.oldest(20);
+                Base base = store.base() == null ? Base.NONE : Base.parse(store.base());
+                store.compact(base.with(oldest).line(keys), oldest.size());
+                System.out.println(store.size());
+                System.out.flush();
+            }
+        }
+    }
+}
--- a/src/test/java/trestleline/ledger/store/StoreTest.java
+++ b/src/test/java/trestleline/ledger/store/StoreTest.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import trestleline.ledger.Base;
 import trestleline.ledger.Entry;
 import trestleline.ledger.Keys;
 import trestleline.ledger.Sealed;
@@ -73,6 +74,73 @@
         }
     }
 
+    @Test
+    void whatWasLetGoStaysAsABaseAndTheRestIsFoundAsBefore() throws IOException {
+        Path file = dir.resolve("compacted");
+        List<String> a = lines("a", 30), b = lines("b", 10);
+        Keys keys = Keys.read(KEYS);
+        Base base = Base.NONE.with(a.subList(0, 20)), all = base.with(a.subList(20, 30)).with(b.subList(0, 4));
+        try (var store = new MvStoreLedger(file)) {
+            store.append(a);
+            store.append(b);
+            store.compact(base.line(keys), 20);
+            assertEquals(a.subList(20, 25), store.range("a", 0, 25), "what is gone is not told");
+            store.compact(all.line(keys), 14);
+        }
+        for (int opened = 0; opened < 2; opened++) {
+            try (var store = new MvStoreLedger(file)) {
+                assertEquals(all, Base.read(keys, store.base()));
+                assertEquals(6, store.size());
+                assertEquals(List.of(), store.range("a", 0, 30));
+                assertEquals(b.subList(5, 10), store.range("b", 5, 99));
+                assertEquals(List.of("a", "b"), store.generations());
+                assertEquals(30, store.next("a"));
+                store.append(a); // again, as after a failure: they were there
+                assertEquals(b.subList(4, 10), store.oldest(100));
+            }
+        }
+    }
+
+    /** Killed while it lets entries go: each time all of it was done or nothing, and every start counts once. */
+    @Test
+    void killedWhileItLetsEntriesGoNothingIsLostOrCountedTwice() throws Exception {
+        Path file = dir.resolve("shrinking");
+        Keys keys = Keys.read(KEYS);
+        List<String> all = lines("a", 3000);
+        try (var store = new MvStoreLedger(file)) {
+            store.append(all);
+        }
+        var random = new SplittableRandom(17);
+        long left = 3000;
+        for (int kill = 0; kill < 6; kill++) {
+            Process p = child(CompactingChild.class, file.toString());
+            try (var out = new BufferedReader(new InputStreamReader(p.getInputStream()))) {
+                for (int i = 0; i <= random.nextInt(12) && out.readLine() != null; i++) { }
+                java.util.concurrent.locks.LockSupport.parkNanos(random.nextLong(3_000_000));
+                p.toHandle().destroyForcibly();
+            }
+            p.waitFor(10, TimeUnit.SECONDS);
+            List<String> stored = new ArrayList<>();
+            try (var store = new MvStoreLedger(file)) {
+                if (store.base() != null) stored.add(store.base());
+                store.scan(stored::add);
+                assertTrue(store.size() <= left, "kill " + kill);
+                left = store.size();
+            }
+            assertEquals(List.of(), Sealed.verify(keys, stored), "kill " + kill);
+            var r = trestleline.ledger.Reconciliation.of(keys, java.util.Map.of("f", stored));
+            assertEquals(java.util.Map.of("t", 2999L), r.totals().byTenant(), "kill " + kill);
+        }
+        assertTrue(left < 3000, "it let some go");
+    }
+
+    private static Process child(Class<?> main, String... args) throws IOException {
+        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xshare:auto",
+            "-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC", "-XX:-UsePerfData", "-Xmx64m", "-cp", System.getProperty("java.class.path"), main.getName()));
+        command.addAll(List.of(args));
+        return new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.DISCARD).start();
+    }
+
     /** Two hundred kills of a writing process, at seeded times: nothing acknowledged is lost, nothing doubled. */
     @Test
     void killedAtAnyPointNothingAcknowledgedIsLostOrDoubled() throws Exception {
@@ -95,9 +163,7 @@
         int acknowledged = 0;
         for (int k = 0; k < KILLS; k++) {
             String generation = "g" + k;
-            Process p = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xshare:auto",
-                "-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC", "-XX:-UsePerfData", "-Xmx64m", "-cp", System.getProperty("java.class.path"), WritingChild.class.getName(),
-                file.toString(), generation).redirectError(ProcessBuilder.Redirect.DISCARD).start();
+            Process p = child(WritingChild.class, file.toString(), generation);
             long last = -1;
             try (var out = new BufferedReader(new InputStreamReader(p.getInputStream()))) {
                 int groups = 1 + random.nextInt(12);
--- a/src/test/java/trestleline/ledger/store/StoreThat.java
+++ b/src/test/java/trestleline/ledger/store/StoreThat.java
@@ -17,6 +17,21 @@
         in.append(lines);
     }
 
+    @Override
+    public String base() {
+        return in.base();
+    }
+
+    @Override
+    public List<String> oldest(int most) throws IOException {
+        return in.oldest(most);
+    }
+
+    @Override
+    public void compact(String base, int lines) throws IOException {
+        in.compact(base, lines);
+    }
+
     @Override
     public long size() {
         return in.size();
--- a/src/test/java/trestleline/path/LedgerPathTest.java
+++ b/src/test/java/trestleline/path/LedgerPathTest.java
@@ -70,6 +70,10 @@
     /** In place of the town's one gateway, one with a ledger in a store that fails when told to. */
     private FaultyStore withLedger(Town town) throws Exception {
         Town.get(town.gateways.get(0).stop());
+        return startWithLedger(town);
+    }
+
+    private FaultyStore startWithLedger(Town town) throws Exception {
         Files.writeString(dir.resolve("keys"), KEYS);
         List<FaultyStore> stores = new ArrayList<>();
         var node = new GatewayNode(town.day.gateway(0, town.ports.get(0), town.fleet.feed().url("0"), dir.resolve("no-list")
@@ -114,6 +118,52 @@
         }
     }
 
+    /** Entries go while paid sessions come, over a kill and a restart: what stays counts as much as what ran. */
+    @Test
+    void aGatewayThatLetsOldEntriesGoStillCountsEveryStart() throws Exception {
+        String day = Town.DAY.replace("GATEWAYS", "1").replace("TROUBLES", "").replace("media: {",
+            "ledger: { periodS: 0.2, latenessS: 0.05, askFromMs: 20, askForMs: 100, keepPeriods: 0 },\n media: {");
+        try (var town = new Town(Day.parse("lets go", day), dir)) {
+            withLedger(town);
+            long viewer = 100;
+            for (int start = 0; start < 2; start++) {
+                GatewayNode node = town.gateways.get(0);
+                long before = viewer, from = Town.get(node.ledger()).letGo();
+                long[] next = {viewer};
+                Town.until("entries go", () -> {
+                    try {
+                        int status = town.ask(0, "induction", "short", next[0]++).get();
+                        assertTrue(status == 200 || status == 503, "its seats may be taken: " + status);
+                    } catch (Exception e) {
+                        throw new IllegalStateException(e);
+                    }
+                    return Town.get(node.ledger()).letGo() > from && next[0] > before + 8;
+                });
+                viewer = next[0];
+                if (start == 0) {
+                    town.empty();
+                    Town.get(node.kill());
+                    startWithLedger(town);
+                }
+            }
+            town.empty();
+            Town.get(town.gateways.get(0).stop());
+            List<String> ran = new ArrayList<>(), lines = new ArrayList<>();
+            town.on(() -> town.fleet.hosts().forEach(h -> ran.addAll(h.ran().keySet())));
+            try (var left = new MvStoreLedger(dir.resolve("ledger"))) {
+                lines.add(left.base());
+                left.scan(lines::add);
+                lines.addAll(left.anchors());
+            }
+            assertTrue(lines.size() < 2 * ran.size(), lines.size() + " lines of " + ran.size() + " starts");
+            var r = trestleline.ledger.Reconciliation.of(Keys.read(KEYS), Map.of("left", lines));
+            assertEquals(List.of(), r.findings());
+            assertEquals(Map.of("bwyd-cyflym", (long) ran.size()), r.totals().byTenant());
+            assertEquals(List.of(), town.verdict().guilty());
+            town.gateways.clear();
+        }
+    }
+
     /** The module has sent it, the connection is there, its intent is on the way to the disk: then the hosts drain. */
     @Test
     void aHostThatDrainsBetweenTransmitAndTheFirstByteIsSentNothing() throws Exception {
@@ -193,8 +243,8 @@
             CompletableFuture<Void> started = new CompletableFuture<>();
             vertx.runOnContext(v -> {
                 keeper[0] = new LedgerKeeper(vertx, new LedgerKeeper.Settings("0", "g", "http://127.0.0.1:" + port,
-                    new Clerk.Terms(1e6, 1e5, 1000, 1e9, 50, 500, 5000, 100)), Keys.read(KEYS), store, new Outbox(new Outbox.Terms(4, 1, 2, 1_000_000, 1000), 1),
-                    new HostClient(vertx, day.template().settings(), 1000, clock), clock);
+                    new Clerk.Terms(1e6, 1e5, 1000, 1e9, 50, 500, 5000, 100), null), Keys.read(KEYS), store, new Outbox(new Outbox.Terms(4, 1, 2, 1_000_000, 1000), 1),
+                    new HostClient(vertx, day.template().settings(), 1000, clock), clock, h -> h);
                 keeper[0].start().onComplete(x -> started.complete(null));
             });
             started.get();
