--- a/src/main/java/trestleline/billing/LedgerKeeper.java
+++ b/src/main/java/trestleline/billing/LedgerKeeper.java
@@ -117,6 +117,7 @@
             double[] at = {0};
             Base base = store.base() == null ? Base.NONE : Base.parse(store.base());
             clerk.recover(base);
+            at[0] = base.newest();
             store.scan(line -> {
                 Sealed s = Sealed.parse(line);
                 Entry e = Entry.decode(s.text());
@@ -220,9 +221,13 @@
         long closed = clerk.lastClosed();
         writer.on(store -> {
             List<String> oldest = store.oldest(LET_GO_AT_ONCE);
-            int n = Compaction.cut(settings.retention(), oldest, store.size() > oldest.size(), closed, now, held);
+            Base before = store.base() == null ? Base.NONE : Base.parse(store.base());
+            long end = store.next(settings.generation());
+            double newest = store.range(settings.generation(), end - 1, end).stream()
+                .mapToDouble(l -> Entry.decode(Sealed.parse(l).text()).eventAt()).reduce(before.newest(), Math::max);
+            int n = Compaction.cut(settings.retention(), oldest, store.size() > oldest.size(), closed, newest, held);
             if (n == 0) return null;
-            Base base = (store.base() == null ? Base.NONE : Base.parse(store.base())).with(oldest.subList(0, n));
+            Base base = before.with(oldest.subList(0, n));
             store.compact(base.line(keys), n);
             return base;
         }).whenComplete((base, e) -> loop.runOnContext(v -> {
--- a/src/main/java/trestleline/cli/LedgerCommand.java
+++ b/src/main/java/trestleline/cli/LedgerCommand.java
@@ -138,7 +138,7 @@
             if (Base.looksLike(line)) {
                 Base b = Base.parse(line);
                 b.starts().forEach((p, by) -> {
-                    byPeriod.computeIfAbsent(p, x -> new Totals()).take(new Base(b.gateway(), Map.of(), Map.of(p, by), 0, List.of()));
+                    byPeriod.computeIfAbsent(p, x -> new Totals()).take(new Base(b.gateway(), Map.of(), Map.of(p, by), 0, 0, List.of()));
                     closed.put(p, "let go");
                 });
             }
@@ -196,10 +196,11 @@
                     defaultValue = "3600") double periodS,
                 @Option(names = "--ask-for", paramLabel = "SECONDS", description = "as its ledger.askForMs (600)", defaultValue = "600")
                 double askForS,
+                @Option(names = "--longest", paramLabel = "SECONDS", description = "its longest deadline (60)", defaultValue = "60") double longestS,
                 @Option(names = "--heads", paramLabel = "FILE", description = "heads from billing: only what they prove to be there "
                     + "goes") Path heads,
                 @Option(names = "--unsent", description = "there is no billing that could lack what goes") boolean unsent) throws IOException {
-        if (keep < 0 || periodS <= 0 || askForS < 0) throw new ConfigException("--keep, --period, --ask-for", List.of("expected 0 or more"));
+        if (keep < 0 || periodS <= 0 || askForS < 0 || longestS < 0) throw new ConfigException("--keep, --period, --ask-for, --longest", List.of("expected 0 or more"));
         if (unsent == (heads != null)) throw new ConfigException("--heads", List.of("is needed, or --unsent in its place"));
         Keys k = keys(keys);
         List<String> all = lines(file);
@@ -214,8 +215,8 @@
             List<String> lines = store.oldest(Integer.MAX_VALUE);
             Base base = store.base() == null ? Base.NONE : Base.read(k, store.base());
             long closed = base.with(lines).closed();
-            double newest = lines.stream().mapToDouble(l -> entry(l).eventAt()).max().orElse(0);
-            int n = Compaction.cut(new Compaction.Terms(periodS * 1000, keep, askForS * 1000), lines, false, closed, newest, held);
+            double newest = lines.stream().mapToDouble(l -> entry(l).eventAt()).reduce(base.newest(), Math::max);
+            int n = Compaction.cut(new Compaction.Terms(periodS * 1000, keep, askForS * 1000, longestS * 1000), lines, false, closed, newest, held);
             if (n > 0) store.compact(base.with(lines.subList(0, n)).line(k), n);
             out().println(n + " entries let go, " + store.size() + " kept");
         }
--- a/src/main/java/trestleline/daemon/Ledgers.java
+++ b/src/main/java/trestleline/daemon/Ledgers.java
@@ -8,6 +8,7 @@
 import trestleline.billing.LedgerKeeper;
 import trestleline.config.GatewayConfig;
 import trestleline.hosts.Receipts;
+import trestleline.Front;
 import trestleline.ledger.Clerk;
 import trestleline.ledger.Compaction;
 import trestleline.ledger.Keys;
@@ -37,8 +38,9 @@
         var clerk = new Clerk.Terms(l.periodS() * 1000, l.latenessS() * 1000, l.backlog(), l.slowMs(), l.askFromMs(),
             l.askToMs(), l.askForMs(), l.open());
         var outbox = new Outbox.Terms(l.batch(), l.backoffFrom(), l.backoffTo(), l.budget(), l.windowMs());
+        double longest = config.settings().classes().stream().mapToDouble(Front.Terms::deadline).max().orElse(0);
         var settings = new LedgerKeeper.Settings(Integer.toString(config.settings().me()), generation, l.desk(), clerk,
-            l.keepPeriods() < 0 ? null : new Compaction.Terms(l.periodS() * 1000, l.keepPeriods(), l.askForMs()));
+            l.keepPeriods() < 0 ? null : new Compaction.Terms(l.periodS() * 1000, l.keepPeriods(), l.askForMs(), longest));
         return new LedgerKeeper(vertx, settings, opened.keys(), seams.store(opened.store()), seams.outbox(outbox, seed),
             seams.receipts(hosts), clock, seams::head);
     }
--- a/src/main/java/trestleline/ledger/Base.java
+++ b/src/main/java/trestleline/ledger/Base.java
@@ -20,13 +20,14 @@
  * @param ends by generation, in the order of their starts
  * @param starts by period, then {@code TENANT/CLASS}
  * @param closed the last period closed; {@code Long.MIN_VALUE}: none
+ * @param newest the latest event time among what was let go, ms
  * @param open sealed lines of intents not settled, in their order
  */
-public record Base(String gateway, Map<String, End> ends, Map<Long, Map<String, Long>> starts, long closed, List<String> open) {
+public record Base(String gateway, Map<String, End> ends, Map<Long, Map<String, Long>> starts, long closed, long newest, List<String> open) {
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final String WORD = "BASE";
     /** Nothing let go yet. */
-    public static final Base NONE = new Base("", Map.of(), Map.of(), Long.MIN_VALUE, List.of());
+    public static final Base NONE = new Base("", Map.of(), Map.of(), Long.MIN_VALUE, 0, List.of());
 
     /** The next sequence of a generation, and the seal of the entry before it. */
     public record End(long next, String seal) { }
@@ -37,7 +38,7 @@
      */
     public Base with(List<String> lines) {
         String name = gateway;
-        long last = closed;
+        long last = closed, latest = newest;
         Map<String, End> reached = new LinkedHashMap<>(ends);
         Map<String, String> unsettled = new LinkedHashMap<>();
         for (String line : open) unsettled.put(Entry.decode(Sealed.parse(line).text()).attempt(), line);
@@ -46,6 +47,7 @@
             Sealed s = Sealed.parse(line);
             Entry e = Entry.decode(s.text());
             name = e.gateway();
+            latest = Math.max(latest, e.eventAt());
             reached.put(e.generation(), new End(e.seq() + 1, s.mac()));
             switch (e.kind()) {
                 case INTENT -> unsettled.put(e.attempt(), line);
@@ -61,7 +63,8 @@
         for (Entry e : counted.values()) {
             all.computeIfAbsent(e.period(), p -> new TreeMap<>()).merge(e.tenant() + "/" + e.service(), 1L, Long::sum);
         }
-        return new Base(name, Collections.unmodifiableMap(reached), Collections.unmodifiableMap(all), last, List.copyOf(unsettled.values()));
+        return new Base(name, Collections.unmodifiableMap(reached), Collections.unmodifiableMap(all), last, latest,
+            List.copyOf(unsettled.values()));
     }
 
     /** Entries let go. */
@@ -89,6 +92,7 @@
             by.forEach(of::put);
         });
         if (closed != Long.MIN_VALUE) n.put("closed", closed);
+        n.put("newest", newest);
         ArrayNode o = n.putArray("open");
         open.forEach(o::add);
         String text = n.toString();
@@ -113,7 +117,7 @@
             List<String> open = new ArrayList<>();
             for (JsonNode o : n.path("open")) open.add(o.asText());
             return new Base(n.path("g").asText(), Collections.unmodifiableMap(ends), Collections.unmodifiableMap(starts),
-                n.path("closed").asLong(Long.MIN_VALUE), List.copyOf(open));
+                n.path("closed").asLong(Long.MIN_VALUE), n.path("newest").longValue(), List.copyOf(open));
         } catch (JsonProcessingException | NumberFormatException e) {
             throw new IllegalArgumentException("base cannot be read: " + e.getMessage(), e);
         }
--- a/src/main/java/trestleline/ledger/Compaction.java
+++ b/src/main/java/trestleline/ledger/Compaction.java
@@ -16,13 +16,14 @@
      * @param periodMs length of a period, ms
      * @param keep closed periods kept whole, at least 0
      * @param askForMs how long unknown ones are asked for, ms
+     * @param longestMs the longest time from an intent to its set-up's end, ms: a host tells when it ran, not when it was meant
      */
-    public record Terms(double periodMs, long keep, double askForMs) { }
+    public record Terms(double periodMs, long keep, double askForMs, double longestMs) { }
 
     /** The last period whose entries may go, from the last one closed and the newest entry's time. */
     static long last(Terms terms, long closed, double newestAt) {
         if (closed == Long.MIN_VALUE) return Long.MIN_VALUE;
-        long still = (long) Math.floor((newestAt - 2 * terms.askForMs()) / terms.periodMs());
+        long still = (long) Math.floor((newestAt - 2 * terms.askForMs() - 2 * terms.longestMs()) / terms.periodMs());
         return Math.min(closed - terms.keep(), still - 1);
     }
 
@@ -31,6 +32,8 @@
      *
      * @param lines in the order stored, the oldest first; some of all
      * @param more whether others are stored behind them
+     * @param newestAt an event time that is stored, the later the better: from a start on, hosts are asked for what ran since the
+     *     latest of them, so the clock says nothing here
      * @param closed the last period closed, wherever it is written
      * @param acknowledged by generation, how many entries billing holds; null: there is no billing
      */
--- a/src/main/java/trestleline/ledger/Reconciliation.java
+++ b/src/main/java/trestleline/ledger/Reconciliation.java
@@ -1,9 +1,13 @@
 package trestleline.ledger;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * Several exported ledgers against each other, and nothing else: what is missing, told twice, or told in two ways. Free of
@@ -72,6 +76,7 @@
             });
         });
         var totals = new Totals();
+        var periods = new Periods();
         int entries = 0;
         Map<String, Base> standing = standing(bases, chains, findings);
         standing.values().forEach(totals::take);
@@ -82,17 +87,53 @@
                 if (base != null && e.seq() < base.next(e.generation())) continue; // the base tells of it
                 entries++;
                 totals.take(e);
+                periods.take(e);
                 if (e.kind() == Entry.Kind.START) {
                     follows(c.getKey(), e, chains, findings);
                     anchors.start(e);
                 }
             }
         }
+        standing.values().forEach(periods::take);
+        findings.addAll(periods.findings());
         findings.addAll(anchors.against(chains, bases));
         for (String d : totals.doubles()) findings.add(new Finding("double", d, "an attempt already counted; counts once"));
         return new Result(findings, totals, entries);
     }
 
+    /** What closed periods say they came to, against what is here of them. */
+    private static final class Periods {
+        private static final Pattern OF = Pattern.compile("([^ ,{}=]+/[^ ,{}=]+)=(\\d+)");
+        private final Map<String, Map<String, Long>> held = new TreeMap<>();
+        private final Map<String, Entry> closes = new TreeMap<>();
+        private final Set<String> let = new HashSet<>();
+
+        void take(Entry e) {
+            String period = e.gateway() + " " + e.period();
+            if (e.kind() == Entry.Kind.CLOSE) closes.put(period, e);
+            else held.computeIfAbsent(period, p -> new TreeMap<>()).merge(e.tenant() + "/" + e.service(), (long) e.amount(), Long::sum);
+        }
+
+        /** Of a period that a base tells of, every start counts once already; what its close counted can't be compared. */
+        void take(Base b) {
+            b.starts().keySet().forEach(p -> let.add(b.gateway() + " " + p));
+        }
+
+        List<Finding> findings() {
+            List<Finding> found = new ArrayList<>();
+            closes.forEach((period, close) -> {
+                if (let.contains(period)) return;
+                for (Matcher m = OF.matcher(close.note()); m.find();) {
+                    long told = Long.parseLong(m.group(2)), here = held.getOrDefault(period, Map.of()).getOrDefault(m.group(1), 0L);
+                    if (here >= told) continue;
+                    found.add(new Finding("gap", close.gateway() + "/" + close.place(), "closes period " + close.period() + " with " + m.group()
+                        + "; entries here come to " + here));
+                }
+            });
+            return found;
+        }
+    }
+
     /**
      * By gateway, the base that tells of what no file holds whole any more: the one that stands for most. Where other files hold
      * all that it stands for, none. A base whose seal is not the one of the entry there is another history.
--- a/src/test/java/trestleline/ledger/LedgerTest.java
+++ b/src/test/java/trestleline/ledger/LedgerTest.java
@@ -40,6 +40,38 @@
         return lines;
     }
 
+    @Test
+    void aPeriodThatACloseProvesToHaveExistedAndIsNotHereIsAGap() {
+        var clerk = new Clerk("0", "one", TERMS);
+        Map<String, List<String>> lines = new LinkedHashMap<>();
+        String[] head = {Sealed.NONE};
+        java.util.function.BiConsumer<String, Entry> put = (file, e) -> {
+            Sealed s = Sealed.seal(KEYS, head[0], e);
+            head[0] = s.mac();
+            lines.computeIfAbsent(file, f -> new ArrayList<>()).add(s.line());
+        };
+        put.accept("one", clerk.start("", 0));
+        for (int i = 0; i < 3; i++) {
+            put.accept("one", clerk.intend(paid("0-one-" + i), 10));
+            put.accept("one", clerk.over("0-one-" + i, true, false, 20));
+            clerk.safe(100);
+        }
+        var next = new Clerk("0", "two", TERMS);
+        for (String l : lines.get("one")) next.recover(Entry.decode(Sealed.parse(l).text()));
+        head[0] = Sealed.NONE;
+        put.accept("two", next.start("lost", 100));
+        put.accept("two", next.intend(paid("0-two-0"), 110));
+        put.accept("two", next.over("0-two-0", true, false, 120));
+        put.accept("two", next.close(2000));
+        List<String> both = new ArrayList<>(lines.get("one"));
+        both.addAll(lines.get("two"));
+        assertEquals(List.of(), Reconciliation.of(KEYS, Map.of("both", both)).findings().stream().filter(f -> !f.kind().equals("open")).toList());
+        List<Reconciliation.Finding> found = Reconciliation.of(KEYS, Map.of("two", lines.get("two"))).findings().stream()
+            .filter(f -> f.kind().equals("gap")).toList();
+        assertEquals(1, found.size(), found.toString());
+        assertEquals("closes period 0 with a/paid=4; entries here come to 1", found.get(0).what());
+    }
+
     // ---- seals ----
 
     @Property(tries = 200)
