--- a/src/main/java/trestleline/billing/LedgerKeeper.java
+++ b/src/main/java/trestleline/billing/LedgerKeeper.java
@@ -72,6 +72,8 @@
     /** Attempts of earlier generations settled in this one: bounded by what those left open or lost. */
     private final Set<String> settledHere = new HashSet<>();
     private String head = Sealed.NONE;
+    /** Of the store's thread. */
+    private Head reached;
     private double sweepFrom, retainedFrom;
     private long entries, letGo;
     private boolean stopped, ready, resting, retaining;
@@ -209,10 +211,20 @@
     private Void anchor(Store store) throws IOException {
         String g = settings.generation();
         long next = store.next(g);
-        if (next > 0) store.anchor(g, heads.apply(Head.of(Sealed.parse(store.range(g, next - 1, next).get(0)))).line(keys));
+        if (next > 0) store.anchor(g, heads.apply(head(store, g, next)).line(keys));
         return null;
     }
 
+    /** Of a generation before its entry {@code next}. On the store's thread, which goes on from the one asked for last. */
+    private Head head(Store store, String generation, long next) throws IOException {
+        if (reached == null || !reached.generation().equals(generation) || reached.seq() >= next) {
+            reached = store.base() == null ? null : Base.parse(store.base()).head(generation);
+        }
+        reached = Head.of(reached, store.range(generation, reached == null ? 0 : reached.seq() + 1, next));
+        if (reached == null || reached.seq() != next - 1) throw new IOException("nothing stored there");
+        return reached;
+    }
+
     /** Lets a few old entries go at a time, so that no paid set-up waits long for its turn at the store. */
     private void retain(double now) {
         if (settings.retention() == null || retaining || now < retainedFrom) return;
@@ -388,17 +400,23 @@
         });
     }
 
+    private record Batch(List<String> lines, Head head) { }
+
     private void send(Outbox.Send s) {
-        writer.on(store -> store.range(s.generation(), s.from(), s.to())).whenComplete((lines, e) -> loop.runOnContext(v -> {
+        writer.on(store -> {
+            List<String> lines = store.range(s.generation(), s.from(), s.to());
+            return new Batch(lines, head(store, s.generation(), s.from() + lines.size()));
+        }).whenComplete((batch, e) -> loop.runOnContext(v -> {
             if (stopped) return;
-            if (e != null || lines.isEmpty()) {
+            if (e != null || batch.lines().isEmpty()) {
                 failed(e == null ? new IOException("nothing stored there") : e);
                 return;
             }
+            List<String> lines = batch.lines();
             String path = "/batches?gateway=" + settings.gateway() + "&generation=" + s.generation() + "&from=" + s.from();
             // a head goes with every batch: billing then knows this end, whatever becomes of the file here
             List<String> all = new java.util.ArrayList<>(lines);
-            all.add(heads.apply(Head.of(Sealed.parse(lines.get(lines.size() - 1)))).line(keys));
+            all.add(heads.apply(batch.head()).line(keys));
             call(HttpMethod.POST, path, Buffer.buffer(String.join("\n", all) + "\n")).onComplete(got -> {
                 if (stopped) return;
                 if (got.failed()) {
--- a/src/main/java/trestleline/cli/LedgerCommand.java
+++ b/src/main/java/trestleline/cli/LedgerCommand.java
@@ -120,9 +120,13 @@
         List<String> lines = lines(file), all = new ArrayList<>(lines);
         Map<String, Head> heads = new LinkedHashMap<>();
         for (String line : lines) {
+            if (Base.looksLike(line)) {
+                Base b = Base.parse(line);
+                b.ends().keySet().forEach(g -> heads.put(b.head(g).chain(), b.head(g)));
+            }
             if (!isEntry(line)) continue;
-            Head h = Head.of(Sealed.parse(line));
-            heads.put(h.chain(), h);
+            Entry e = entry(line);
+            heads.compute(e.gateway() + "/" + e.generation(), (c, before) -> Head.after(before, Sealed.parse(line)));
         }
         heads.values().forEach(h -> all.add(h.line(k)));
         Files.write(to, all);
@@ -182,7 +186,7 @@
         try (var store = new MvStoreLedger(file)) {
             Sealed second = Sealed.seal(k, first.mac(), correction);
             store.append(List.of(first.line(), second.line()));
-            store.anchor(generation, Head.of(second).line(k));
+            store.anchor(generation, Head.after(Head.after(null, first), second).line(k));
         }
         out().println("added " + correction.place());
         return 0;
--- a/src/main/java/trestleline/ledger/Anchors.java
+++ b/src/main/java/trestleline/ledger/Anchors.java
@@ -11,20 +11,20 @@
  * open: nothing can prove that more did not follow. Free of I/O.
  */
 final class Anchors {
-    private record Anchor(long seq, String seal, String from) { }
+    private record Anchor(long seq, String seal, String from, Map<String, Long> starts) { }
 
     private final Map<String, List<Anchor>> seen = new TreeMap<>();
 
     /** A head, and where it was seen. */
     void head(Head h, String from) {
-        add(h.chain(), new Anchor(h.seq(), h.seal(), "a head in " + from));
+        add(h.chain(), new Anchor(h.seq(), h.seal(), "a head in " + from, h.starts()));
     }
 
     /** The start of a generation names the end of the one before it. */
     void start(Entry start) {
         String[] part = start.note().split(":");
         if (part.length == 3 && part[1].matches("\\d{1,18}")) {
-            add(start.gateway() + "/" + part[0], new Anchor(Long.parseLong(part[1]), part[2], "the start of " + start.generation()));
+            add(start.gateway() + "/" + part[0], new Anchor(Long.parseLong(part[1]), part[2], "the start of " + start.generation(), null));
         }
     }
 
@@ -32,6 +32,16 @@
         seen.computeIfAbsent(chain, c -> new ArrayList<>()).add(a);
     }
 
+    /** Paid starts of a chain up to an entry. */
+    private static Map<String, Long> counted(TreeMap<Long, Sealed> held, Base.End base, long upTo) {
+        Map<String, Long> all = new TreeMap<>(base == null ? Map.of() : base.starts());
+        for (Sealed s : held.subMap(base == null ? 0 : base.next(), true, Math.max(upTo, base == null ? 0 : base.next()), true).values()) {
+            Entry e = Entry.decode(s.text());
+            if (e.seq() <= upTo && e.amount() != 0) all.merge(e.tenant() + "/" + e.service(), (long) e.amount(), Long::sum);
+        }
+        return all;
+    }
+
     /** What the heads say of chains: entries by sequence, for each {@code GATEWAY/GENERATION}. */
     List<Reconciliation.Finding> against(Map<String, TreeMap<Long, Sealed>> chains, List<Base> bases) {
         List<Reconciliation.Finding> found = new ArrayList<>();
@@ -51,7 +61,16 @@
             long last = Math.max(held.isEmpty() ? -1 : held.lastKey(), stood.containsKey(chain) ? stood.get(chain).next() - 1 : -1);
             if (newest.seq() > last) {
                 found.add(new Reconciliation.Finding("gap", chain + ":" + (last + 1), "missing up to " + newest.seq()
-                    + ", which " + newest.from() + " proves to have existed"));
+                    + ", which " + newest.from() + " proves to have existed"
+                    + (newest.starts() == null ? "" : "; paid starts " + newest.starts() + ", of which " + counted(held, stood.get(chain), last) + " are here")));
+            }
+            for (Anchor a : anchors) {
+                boolean whole = held.isEmpty() || held.firstKey() <= (stood.containsKey(chain) ? stood.get(chain).next() : 0);
+                if (a.starts() == null || a.seq() > last || !whole || stood.containsKey(chain) && a.seq() < stood.get(chain).next() - 1) continue;
+                Map<String, Long> here = counted(held, stood.get(chain), a.seq());
+                if (!here.equals(a.starts())) {
+                    found.add(new Reconciliation.Finding("fault", chain + ":" + a.seq(), a.from() + " counts " + a.starts() + ", entries come to " + here));
+                }
             }
         });
         chains.forEach((chain, held) -> {
--- a/src/main/java/trestleline/ledger/Base.java
+++ b/src/main/java/trestleline/ledger/Base.java
@@ -29,8 +29,8 @@
     /** Nothing let go yet. */
     public static final Base NONE = new Base("", Map.of(), Map.of(), Long.MIN_VALUE, 0, List.of());
 
-    /** The next sequence of a generation, and the seal of the entry before it. */
-    public record End(long next, String seal) { }
+    /** The next sequence of a generation, the seal of the entry before it, and its starts up to there by {@code TENANT/CLASS}. */
+    public record End(long next, String seal, Map<String, Long> starts) { }
 
     /**
      * Together with the lines that followed it. An attempt counts once in them, as in {@link Totals}; one that was counted in an
@@ -48,7 +48,8 @@
             Entry e = Entry.decode(s.text());
             name = e.gateway();
             latest = Math.max(latest, e.eventAt());
-            reached.put(e.generation(), new End(e.seq() + 1, s.mac()));
+            Head head = Head.after(name.isEmpty() ? null : head(name, e.generation(), reached.get(e.generation())), s);
+            reached.put(e.generation(), new End(e.seq() + 1, s.mac(), head.starts()));
             switch (e.kind()) {
                 case INTENT -> unsettled.put(e.attempt(), line);
                 case RAN, NEVER, CORRECTION -> unsettled.remove(e.attempt());
@@ -67,6 +68,21 @@
             List.copyOf(unsettled.values()));
     }
 
+    private static Map<String, Long> counts(JsonNode of) {
+        Map<String, Long> by = new TreeMap<>();
+        of.fields().forEachRemaining(f -> by.put(f.getKey(), f.getValue().longValue()));
+        return by;
+    }
+
+    private static Head head(String gateway, String generation, End end) {
+        return end == null ? null : new Head(gateway, generation, end.next() - 1, end.seal(), end.starts());
+    }
+
+    /** Where a generation's lines go on; null for one that it knows nothing of. */
+    public Head head(String generation) {
+        return head(gateway, generation, ends.get(generation));
+    }
+
     /** Entries let go. */
     public long entries() {
         return ends.values().stream().mapToLong(End::next).sum();
@@ -86,7 +102,7 @@
     public String line(Keys keys) {
         ObjectNode n = JSON.createObjectNode().put("g", gateway);
         ObjectNode e = n.putObject("ends"), s = n.putObject("starts");
-        ends.forEach((g, end) -> e.putObject(g).put("next", end.next()).put("seal", end.seal()));
+        ends.forEach((g, end) -> end.starts().forEach(e.putObject(g).put("next", end.next()).put("seal", end.seal()).putObject("starts")::put));
         starts.forEach((p, by) -> {
             ObjectNode of = s.putObject(Long.toString(p));
             by.forEach(of::put);
@@ -107,13 +123,9 @@
             JsonNode n = JSON.readTree(part[3]);
             Map<String, End> ends = new LinkedHashMap<>();
             n.path("ends").fields().forEachRemaining(f -> ends.put(f.getKey(), new End(f.getValue().path("next").longValue(),
-                f.getValue().path("seal").asText())));
+                f.getValue().path("seal").asText(), counts(f.getValue().path("starts")))));
             Map<Long, Map<String, Long>> starts = new TreeMap<>();
-            n.path("starts").fields().forEachRemaining(p -> {
-                Map<String, Long> by = new TreeMap<>();
-                p.getValue().fields().forEachRemaining(f -> by.put(f.getKey(), f.getValue().longValue()));
-                starts.put(Long.valueOf(p.getKey()), by);
-            });
+            n.path("starts").fields().forEachRemaining(p -> starts.put(Long.valueOf(p.getKey()), counts(p.getValue())));
             List<String> open = new ArrayList<>();
             for (JsonNode o : n.path("open")) open.add(o.asText());
             return new Base(n.path("g").asText(), Collections.unmodifiableMap(ends), Collections.unmodifiableMap(starts),
--- a/src/test/java/trestleline/cli/CommandLineTest.java
+++ b/src/test/java/trestleline/cli/CommandLineTest.java
@@ -94,7 +94,7 @@
             store.append(lines);
         }
         assertEquals(2, run("ledger", "compact", file, "--keys", keys, "--keep", "0"), "neither heads nor --unsent");
-        Path billing = Files.writeString(dir.resolve("held"), trestleline.ledger.Head.of(Sealed.parse(lines.get(2))).line(k) + "\n");
+        Path billing = Files.writeString(dir.resolve("held"), trestleline.ledger.Head.of(null, lines.subList(0, 3)).line(k) + "\n");
         assertEquals(0, run("ledger", "compact", file, "--keys", keys, "--keep", "0", "--ask-for", "0", "--longest", "0", "--heads", billing), () -> out);
         assertTrue(out.contains("3 entries let go, 9 kept"), out);
         assertEquals(0, run("ledger", "compact", file, "--keys", keys, "--keep", "1", "--ask-for", "0", "--longest", "0", "--unsent"), () -> out);
--- a/src/test/java/trestleline/convict/Flaw.java
+++ b/src/test/java/trestleline/convict/Flaw.java
@@ -227,7 +227,7 @@
             };
         }
     }),
-    HEAD_OF_THE_ENTRY_BEFORE(7, () -> Bent.heads(h -> h.seq() == 0 ? h : new Head(h.gateway(), h.generation(), h.seq() - 1, h.seal()))),
+    HEAD_OF_THE_ENTRY_BEFORE(7, () -> Bent.heads(h -> h.seq() == 0 ? h : new Head(h.gateway(), h.generation(), h.seq() - 1, h.seal(), h.starts()))),
     HEAD_ONE_BATCH_SHORT(7, () -> new Seams() {
         private final java.util.Map<String, Head> newest = new java.util.HashMap<>(), before = new java.util.HashMap<>();
 
@@ -238,8 +238,9 @@
             return before.getOrDefault(real.chain(), real);
         }
     }),
-    HEAD_PROMISES_THE_NEXT_ENTRY(7, () -> Bent.heads(h -> new Head(h.gateway(), h.generation(), h.seq() + 1, h.seal()))),
-    HEAD_NAMES_ANOTHER_GENERATION(7, () -> Bent.heads(h -> new Head(h.gateway(), "g", h.seq(), h.seal()))),
+    HEAD_PROMISES_THE_NEXT_ENTRY(7, () -> Bent.heads(h -> new Head(h.gateway(), h.generation(), h.seq() + 1, h.seal(), h.starts()))),
+    HEAD_COUNTS_TOO_LITTLE(7, () -> Bent.heads(h -> new Head(h.gateway(), h.generation(), h.seq(), h.seal(), java.util.Map.of()))),
+    HEAD_NAMES_ANOTHER_GENERATION(7, () -> Bent.heads(h -> new Head(h.gateway(), "g", h.seq(), h.seal(), h.starts()))),
     SAFE_BEFORE_IT_IS_WRITTEN(7, () -> new Seams() {
         @Override
         public Store store(Store real) {
--- a/src/test/java/trestleline/ledger/CompactionTest.java
+++ b/src/test/java/trestleline/ledger/CompactionTest.java
@@ -118,6 +118,9 @@
         assertEquals(newest, rest.stream().mapToDouble(l -> entry(l).eventAt()).reduce(base.newest(), Math::max), "hosts are asked from the same time on");
         assertEquals(List.of(), Sealed.verify(KEYS, compacted));
         Reconciliation.Result whole = Reconciliation.of(KEYS, Map.of("whole", lines));
+        Map<String, Head> reached = new LinkedHashMap<>();
+        for (String l : lines) reached.compute(entry(l).generation(), (g, before) -> Head.after(before, Sealed.parse(l)));
+        for (Head h : reached.values()) compacted.add(h.line(KEYS)); // billing's, from before anything went
         List<String> part = lines.subList(n / 2, lines.size());
         for (Map<String, List<String>> files : List.of(Map.of("compacted", compacted), Map.of("compacted", compacted, "whole", lines),
             Map.of("compacted", compacted, "part", part))) {
--- a/src/test/java/trestleline/ledger/LedgerTest.java
+++ b/src/test/java/trestleline/ledger/LedgerTest.java
@@ -372,7 +372,7 @@
     @Test
     void anEndThatIsCutOffIsNamedByAnyHeadAndOpenWithoutOne() {
         List<String> whole = chain("0", "g", 6, "");
-        String head = Head.of(Sealed.parse(whole.get(5))).line(KEYS);
+        String head = Head.of(null, whole.subList(0, 6)).line(KEYS);
         Map<String, List<String>> files = new java.util.HashMap<>();
         files.put("a", with(whole, head));
         assertEquals(List.of(), Reconciliation.of(KEYS, files).findings());
@@ -385,8 +385,13 @@
             List<String> next = chain("0", "h", 1, "g:5:" + Sealed.parse(whole.get(5)).mac());
             assertTrue(kinds(Map.of("a", cut, "next", next)).contains("gap"), left + " left");
         }
+        assertEquals("missing up to 5, which a head in a proves to have existed; paid starts {a/paid=5}, of which {a/paid=2} are here",
+            Reconciliation.of(KEYS, Map.of("a", with(whole.subList(0, 3), head))).findings().get(0).what());
+        Head h = Head.of(null, whole);
+        String few = new Head("0", "g", 5, h.seal(), Map.of("a/paid", 4L)).line(KEYS);
+        assertEquals(List.of("fault"), kinds(Map.of("a", with(whole, few))), "it counts wrongly");
         assertEquals(List.of("fault"), kinds(Map.of("a", with(whole, head.replace("\"seq\":5", "\"seq\":4")))), "forged");
-        String other = Head.of(Sealed.parse(chain("0", "g", 5, "x").get(4))).line(KEYS);
+        String other = Head.of(null, chain("0", "g", 5, "x")).line(KEYS);
         assertEquals(List.of("fork"), kinds(Map.of("a", with(whole, other))));
     }
 
