A request that came while its gateway stood still is not cut by its head's timer

After a standstill the timers of heads were overdue, with the requests unread behind them, and fired first: connections were closed unread.

A timer that was kept waiting itself gives the viewer a quarter of a second more, in which what lies in the socket is read. StandstillTest opens eight connections, holds the gateway still over the time of a head while they send, and wants eight answers: none came before, all do now.

--- a/src/main/java/trestleline/http/Connections.java
+++ b/src/main/java/trestleline/http/Connections.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.DoubleSupplier;
 import trestleline.config.GatewayConfig;
 
 /**
@@ -26,7 +27,11 @@
      */
     static final long STEP = Budget.HEAD_FACTOR * (long) READ + Budget.REQUEST;
 
+    /** A timer later than this was kept waiting; the viewer then has this long again, ms. */
+    private static final double LATE_MS = 50, AGAIN_MS = 250;
+
     private final Vertx vertx;
+    private final DoubleSupplier clock;
     private final GatewayConfig.Limits limits;
     private final Budget<HttpConnection, S> budget;
     private final Consumer<S> end;
@@ -34,8 +39,9 @@
     private long turnedAway, timedOut, crowded;
 
     /** @param end ends a session that has to go */
-    Connections(Vertx vertx, GatewayConfig.Limits limits, Consumer<S> end) {
+    Connections(Vertx vertx, GatewayConfig.Limits limits, DoubleSupplier clock, Consumer<S> end) {
         this.end = end;
+        this.clock = clock;
         this.vertx = vertx;
         this.limits = limits;
         budget = new Budget<>(limits.memory());
@@ -77,7 +83,12 @@
     }
 
     private long arm(HttpConnection c, double ms) {
+        double due = clock.getAsDouble() + ms;
         return vertx.setTimer((long) Math.max(1, ms), t -> {
+            if (clock.getAsDouble() - due > LATE_MS) {
+                timers.put(c, arm(c, AGAIN_MS)); // after a standstill what came meanwhile lies unread behind its timer
+                return;
+            }
             timedOut++;
             cut(c);
         });
--- a/src/main/java/trestleline/http/HttpFront.java
+++ b/src/main/java/trestleline/http/HttpFront.java
@@ -179,7 +179,7 @@
         this.clock = clock;
         asks = new Asks(config.settings());
         silence = new Silence(config.limits().bufferMs(), config.media().segmentS() * 1000);
-        connections = new Connections<>(vertx, config.limits(), this::shed);
+        connections = new Connections<>(vertx, config.limits(), clock, this::shed);
         cors = new Cors(config.listen().origins());
         name = "trestleline-" + config.settings().me();
     }
--- a/src/test/java/trestleline/convict/StandstillTest.java
+++ b/src/test/java/trestleline/convict/StandstillTest.java
@@ -68,6 +68,18 @@
         });
     }
 
+    /** A gateway stands still over the time that a head may take; the request that came meanwhile lies unread behind its timer. */
+    @org.junit.jupiter.api.Test
+    void aRequestThatCameWhileItsGatewayStoodStillIsAnswered() throws Exception {
+        var begun = new CountDownLatch(1);
+        var armed = new AtomicBoolean(true);
+        Seams still = held(Flaw.TRUE, a -> {
+            if (armed.getAndSet(false)) stand(begun);
+            return true;
+        });
+        for (String answer : Scenes.askWhileItStands(dir, still, begun)) assertEquals("HTTP/1.1 200 OK", answer);
+    }
+
     private interface Scene {
         List<Integer> play(Path dir) throws Exception;
     }
--- a/src/test/java/trestleline/path/Scenes.java
+++ b/src/test/java/trestleline/path/Scenes.java
@@ -27,6 +27,38 @@
         }
     }
 
+    /** Connections opened before a gateway stands still send their requests while it does; the first line of each answer. */
+    public static List<String> askWhileItStands(Path dir, Seams seams, CountDownLatch stands) throws Exception {
+        try (Town town = new Town(dir, seams)) {
+            List<java.net.Socket> sockets = new ArrayList<>();
+            for (int i = 0; i < 8; i++) sockets.add(new java.net.Socket("127.0.0.1", town.ports.get(0)));
+            Town.until("they are accepted", () -> {
+                try {
+                    return new io.vertx.core.json.JsonObject(new String(town.fetch(0, "/-/status").body())).getInteger("connections") >= 8;
+                } catch (Exception e) {
+                    throw new IllegalStateException(e);
+                }
+            });
+            CompletableFuture<Integer> first = town.ask(0, "zone-guide", "short", 1);
+            stands.await(10, TimeUnit.SECONDS);
+            List<String> answers = new ArrayList<>();
+            for (int i = 0; i < 8; i++) {
+                sockets.get(i).getOutputStream().write(("GET /bwyd-cyflym/zone-guide/long/index.m3u8?CMCD=sid%3D%22s" + i
+                    + "%22 HTTP/1.1\r\nHost: x\r\n\r\n").getBytes());
+            }
+            for (java.net.Socket s : sockets) {
+                s.setSoTimeout(5000);
+                try (s; var in = new java.io.BufferedReader(new java.io.InputStreamReader(s.getInputStream()))) {
+                    answers.add(String.valueOf(in.readLine()));
+                } catch (java.io.IOException e) {
+                    answers.add(e.toString());
+                }
+            }
+            first.get(10, TimeUnit.SECONDS);
+            return answers;
+        }
+    }
+
     /**
      * A host is back cold, and viewers come to five gateways for what it alone holds while no connect gets through; then all
      * do at once. Each gateway holds one set-up by then, decided in its own turn. Returns the rules broken.
