A host whose port was taken comes back at another; floods leave others' ports alone

With two test processes a stand-in host did not come back: one of the thousands of connections of the heap measurement beside it had taken its port.

A stand-in host takes another port then, and the list says so. The flood comes from 127.0.0.2, whose ports are others.

--- a/src/main/java/trestleline/measure/HeapStress.java
+++ b/src/main/java/trestleline/measure/HeapStress.java
@@ -77,6 +77,8 @@
           fleet: { places: 8, racks: 1, linkUnitKb: 100000, rackLinkKb: 1000000, kinds: [{ name: "k", slots: 20000 }] },
           list: { url: "URL" }, media: { segmentS: 1 }, limits: { headMs: 60000, idleMs: 60000 },
           titles: [{ name: "long", seconds: 600, home: 0, holders: 8 }] }""";
+    /** Thousands of connections from here take no port of 127.0.0.1, where others beside may want to come back to theirs. */
+    private static final String FROM = "127.0.0.2";
     private static final String PATH = "/a/safe/long/index.m3u8";
 
     private final Mix mix;
@@ -187,8 +189,8 @@
     // ---- the mix ----
 
     private void letLoose(Vertx loads, int port) {
-        NetClient net = loads.createNetClient(new NetClientOptions().setConnectTimeout(5000));
-        HttpClientAgent asks = loads.httpClientBuilder().with(new HttpClientOptions().setKeepAliveTimeout(30))
+        NetClient net = loads.createNetClient(new NetClientOptions().setConnectTimeout(5000).setLocalAddress(FROM));
+        HttpClientAgent asks = loads.httpClientBuilder().with(new HttpClientOptions().setKeepAliveTimeout(30).setLocalAddress(FROM))
             .with(new PoolOptions().setHttp1MaxSize(600).setMaxWaitQueueSize(10_000))
             .withConnectHandler(c -> c.exceptionHandler(e -> { })).build();
         double ms = mix.seconds() * 500;
--- a/src/main/java/trestleline/standin/MediaHost.java
+++ b/src/main/java/trestleline/standin/MediaHost.java
@@ -172,6 +172,10 @@
             trace.add(new Seen.HostUp(startedAt, spec.name(), spec.slots(), warm));
             vertx.setTimer((long) TICK, t -> tick(mine));
             return port;
+        }).recover(e -> {
+            if (port == 0) return Future.failedFuture(e);
+            port = 0; // somebody took its port meanwhile: it comes back at another, and the list says so
+            return start(warm);
         });
     }
 
