--- a/src/test/java/trestleline/ledger/LedgerTest.java
+++ b/src/test/java/trestleline/ledger/LedgerTest.java
@@ -72,6 +72,30 @@
         assertEquals("closes period 0 with a/paid=4; entries here come to 1", found.get(0).what());
     }
 
+    @Test
+    void anIntentThatTheStoreFailedOnIsNotWaitedForEvenWhenItIsSafeLater() {
+        var clerk = new Clerk("0", "g", TERMS);
+        clerk.start("", 0);
+        Entry e = clerk.intend(paid("x"), 0);
+        clerk.failed();
+        clerk.safe(e.seq()); // the same group again, and well
+        assertEquals(Clerk.Verdict.NO, clerk.mayWrite("x"), "its viewer was to be refused by then");
+        Entry over = clerk.over("x", false, true, 10);
+        assertEquals(Entry.Kind.NEVER, over.kind());
+    }
+
+    @Test
+    void aReceiptOfASetUpThatIsStillOutWaitsForItsAnswer() {
+        var clerk = new Clerk("0", "g", TERMS);
+        clerk.start("", 0);
+        Entry e = clerk.intend(paid("x"), 0);
+        clerk.safe(e.seq());
+        clerk.written("x");
+        assertNull(clerk.found(paid("x"), 5, 10), "a sweep that tells of it meanwhile settles nothing");
+        assertEquals(Entry.Kind.RAN, clerk.over("x", true, false, 20).kind());
+        assertEquals(Map.of("a/paid", 1), clerk.totals(0));
+    }
+
     // ---- seals ----
 
     @Property(tries = 200)
