Signals, the feed's moves and give-ups that cross another step are heard

Cause, by reading, each then forced by a test that fails on the code before: a signal before the start was lost or ended the process, as the handlers stood after the settings' reading and stop() met null parts (cli.Node, PlatformNode.stop); two reloads read side by side, the older file could win (reload); the old feed was dropped before the new one spoke, and a move to where nobody listens told the module nothing (FeedClient.move); a feed that accepts and says nothing was asked again after 2.1 s, twice of that being over the 4 s that count as told; events of the start beyond the first were taken for news of a feed that nobody follows yet (FeedClient.start); a session handed over at a host that nobody lists left an entry without a listing, on which every later list and re-pack threw (Decide.onOpen); settings that the module refuses left the process standing for 30 s; set-ups were begun while their give-up or the close behind them was still to be read, as further turns of a connection ran before the sockets were read again (SignalFront.take); half a message closed a connection without the answers owed on it.

Change: signals are taken before anything else and kept for the gateway to come (Told); one reader of settings at a time; a second connection to the feed is asked beside the first and takes over with its first line; 1.3 s for that line, as the feed says its number every second; the list of the start is one old copy; messages that wait are read ahead within bounds (Backlog), given up ones are not begun, further turns come from timers. standingSessionsBelongToNoConnection sent one id twice on a busy machine and takes new ones now.

--- a/src/main/java/trestleline/Decide.java
+++ b/src/main/java/trestleline/Decide.java
@@ -854,8 +854,8 @@
 
     private void onOpen(Front.Ask ask, String host) {
         int cls = classOf(ask.service());
-        Server at = servers.computeIfAbsent(host, Server::new);
-        if (cls < 0 || at.entry == null) return;
+        Server at = servers.get(host);
+        if (cls < 0 || at == null) return;
         Session s = new Session(ask, cls, now, set.classes().get(cls).worth());
         s.shot = 0;
         at.proven = true;
--- a/src/main/java/trestleline/cli/Node.java
+++ b/src/main/java/trestleline/cli/Node.java
@@ -3,7 +3,6 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -54,6 +53,10 @@
 
     /** Serves until it is told to end; 2 where the settings can't be used. */
     static int serve(Path file) throws Exception {
+        var told = new Told(file);
+        // before anything else: whatever the platform tells from now on is heard, however far the start has come
+        Signal.handle(new Signal("HUP"), s -> told.anew());
+        Signal.handle(new Signal("TERM"), s -> told.end());
         NodeConfig config;
         try {
             config = NodeConfig.open(file);
@@ -62,21 +65,20 @@
             return 2;
         }
         var node = new PlatformNode(config);
-        var ended = new CountDownLatch(1);
-        // in place before anybody can take this gateway for ready
-        Signal.handle(new Signal("HUP"), s -> node.reload(file));
-        Signal.handle(new Signal("TERM"), s -> node.stop().onComplete(x -> ended.countDown()));
+        told.runs(node);
         try {
             node.start().toCompletionStage().toCompletableFuture().get(30, TimeUnit.SECONDS);
         } catch (java.util.concurrent.ExecutionException e) {
-            System.err.println("trestleline: cannot serve on " + config.listen() + ": "
+            if (told.ending()) Runtime.getRuntime().halt(0);
+            boolean settings = e.getCause() instanceof IllegalArgumentException;
+            System.err.println("trestleline: " + (settings ? file + ": settings: " : "cannot serve on " + config.listen() + ": ")
                 + e.getCause().getMessage());
             node.kill();
-            return 1;
+            return settings ? 2 : 1;
         }
         System.out.println("listening " + config.listen());
         System.out.flush();
-        while (!ended.await(EVERY, TimeUnit.SECONDS)) {
+        while (!told.ended(EVERY)) {
             node.state().onSuccess(s -> LOG.atInfo().addKeyValue("state", s).log("running"));
         }
         Runtime.getRuntime().halt(0); // nothing is left to close, and the loop's threads are not waited for
--- a/src/main/java/trestleline/feed/FeedClient.java
+++ b/src/main/java/trestleline/feed/FeedClient.java
@@ -18,13 +18,21 @@
 import trestleline.listing.Listed;
 
 /**
- * Follows the control feed. One connection at a time; it is given up when it breaks, when it says nothing for longer than two
- * of its seconds, or when a line can't be read, and the next one asks for what comes after the last whole event.
+ * Follows the control feed. One connection is followed; a second one is there only while it is asked, and takes over with the
+ * first line that it says: until then whatever the first may still tell is heard. A connection is given up when it breaks, when
+ * it says nothing for longer than two of the feed's seconds, or when a line can't be read, and the next one asks for what comes
+ * after the last whole event.
  */
 public final class FeedClient implements Directory {
     private static final Logger LOG = LoggerFactory.getLogger(FeedClient.class);
     /** The feed says its number every second (ms): silence for longer than this is a break. */
     private static final double SILENT = 2100;
+    /**
+     * One that was just asked answers at once, with its number at the latest a second later: sooner than this it is not given
+     * up. What a feed that fell silent would have told counts as told after 4 s: so long a silence, a pause and this time twice
+     * stay within that.
+     */
+    private static final double FIRST = 1300;
     private static final int CONNECT = 500, SWEEP = 100, LINE = 1 << 18;
     /** Pauses between connections, ms: half of it at random. */
     private static final double PAUSE = 50, LONGEST_PAUSE = 400;
@@ -42,12 +50,22 @@
     private final Backoff backoff;
     private final NetClient client;
     private Address at;
-    private NetSocket socket;
-    private int generation;
-    private double heard, nextAt;
-    private boolean connecting, current, closed;
+    private Link followed, asked;
+    private double nextAt;
+    private boolean current, closed;
     private long breaks;
 
+    /** A connection to the feed; {@code socket} is null until it is up. */
+    private static final class Link {
+        final Address at;
+        NetSocket socket;
+        double heard;
+
+        Link(Address at) {
+            this.at = at;
+        }
+    }
+
     public FeedClient(Vertx vertx, FeedView view, Told told, Consumer<Front.Update> module, DoubleSupplier clock, long seed) {
         this.vertx = vertx;
         this.view = view;
@@ -58,23 +76,20 @@
         client = vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true).setConnectTimeout(CONNECT));
     }
 
-    /** Tells the events of the start, then follows the feed at an address. */
+    /** Tells the list of the start, then follows the feed at an address. */
     public void start(List<FeedView.Change> known, Address feed) {
-        boolean first = true;
-        for (FeedView.Change c : known) {
-            tell(c, first ? "stale_copy" : c.mode());
-            first = false;
-        }
+        // old until the feed says that nothing came after it: it was written down some time before this start
+        if (!known.isEmpty()) tell(FeedView.merged(known), "stale_copy");
         at = feed;
         vertx.setPeriodic(SWEEP, t -> sweep());
         connect();
     }
 
-    /** Follows the feed at another address from now on; the numbers go on. */
+    /** Follows the feed at another address from now on; the numbers go on. What the old one still says is heard. */
     public void move(Address feed) {
         if (feed.equals(at)) return;
         at = feed;
-        drop();
+        if (asked != null) drop(asked);
         backoff.worked();
         connect();
     }
@@ -85,66 +100,81 @@
 
     public void close() {
         closed = true;
-        drop();
+        if (asked != null) drop(asked);
+        if (followed != null) drop(followed);
+    }
+
+    private void drop(Link link) {
+        if (link == asked) asked = null;
+        if (link == followed) followed = null;
+        if (link.socket != null) link.socket.close();
     }
 
-    private void drop() {
-        generation++;
-        connecting = false;
-        if (socket != null) socket.close();
-        socket = null;
+    private boolean holds(Link link) {
+        return link == asked || link == followed;
     }
 
     private void connect() {
-        if (closed || connecting || socket != null) return;
-        connecting = true;
-        int mine = ++generation;
+        if (closed || asked != null) return;
+        var link = new Link(at);
+        asked = link;
         client.connect(at.port(), at.ip()).onComplete(got -> {
-            if (mine != generation) {
+            if (!holds(link)) {
                 if (got.succeeded()) got.result().close();
                 return;
             }
-            connecting = false;
             if (got.failed()) {
-                later();
+                broke(link, "no connection");
                 return;
             }
-            socket = got.result();
-            heard = clock.getAsDouble();
-            socket.exceptionHandler(e -> LOG.atDebug().addKeyValue("cause", e.getMessage()).log("the feed's connection broke"));
-            socket.closeHandler(v -> broke(mine, "closed"));
-            RecordParser lines = RecordParser.newDelimited("\n", b -> line(mine, b));
+            link.socket = got.result();
+            link.heard = clock.getAsDouble();
+            link.socket.exceptionHandler(e -> LOG.atDebug().addKeyValue("cause", e.getMessage()).log("the feed's connection broke"));
+            link.socket.closeHandler(v -> broke(link, "closed"));
+            RecordParser lines = RecordParser.newDelimited("\n", b -> line(link, b));
             lines.maxRecordSize(LINE);
-            lines.exceptionHandler(e -> broke(mine, e.getMessage()));
-            socket.handler(lines);
-            socket.write(Buffer.buffer("SUB " + view.last() + "\n"));
+            lines.exceptionHandler(e -> broke(link, e.getMessage()));
+            link.socket.handler(lines);
+            link.socket.write(Buffer.buffer("SUB " + view.last() + "\n"));
         });
     }
 
-    private void line(int mine, Buffer bytes) {
-        if (mine != generation) return;
-        heard = clock.getAsDouble();
+    private void line(Link link, Buffer bytes) {
+        if (!holds(link)) return;
+        link.heard = clock.getAsDouble();
         FeedView.Line line;
         try {
             line = view.read(bytes.toString());
         } catch (IllegalArgumentException e) {
             LOG.atWarn().addKeyValue("fault", e.getMessage()).log("a line of the feed can't be read");
-            broke(mine, e.getMessage());
+            broke(link, e.getMessage());
             return;
         }
-        backoff.worked();
+        if (line.sort() == FeedView.Sort.GAP) {
+            broke(link, "events are missing");
+            return;
+        }
+        if (link == asked) takeOver();
         switch (line.sort()) {
             case CHANGE -> tell(line.change(), line.change().mode());
-            case GAP -> broke(mine, "events are missing");
             case UP_TO_DATE -> {
                 // nothing changed since the list of the start, or since a break: that is news as well
                 if (!current) module.accept(new Front.Update("patch", List.of(), view.last()));
                 current = true;
             }
-            case PASSED_OVER -> { }
+            case PASSED_OVER, GAP -> { }
         }
     }
 
+    /** The one that was asked speaks: it is the one to follow. */
+    private void takeOver() {
+        Link old = followed;
+        followed = asked;
+        asked = null;
+        if (old != null) drop(old);
+        backoff.worked();
+    }
+
     private void tell(FeedView.Change c, String mode) {
         LOG.atDebug().addKeyValue("n", c.n()).addKeyValue("hosts", c.hosts()).log("changed");
         for (String fault : c.faults()) LOG.atWarn().addKeyValue("fault", fault).log("a host of the feed is left out");
@@ -153,24 +183,24 @@
         module.accept(new Front.Update(mode, c.hosts().stream().map(Listed::entry).toList(), c.n()));
     }
 
-    private void broke(int mine, String why) {
-        if (mine != generation || closed) return;
+    private void broke(Link link, String why) {
+        if (!holds(link) || closed) return;
         LOG.atInfo().addKeyValue("why", why).addKeyValue("last", view.last()).log("the feed broke");
         breaks++;
-        drop();
-        if (current) module.accept(new Front.Update("broken", List.of(), view.last()));
-        current = false;
-        later();
-    }
-
-    private void later() {
+        drop(link);
+        if (followed == null) {
+            if (current) module.accept(new Front.Update("broken", List.of(), view.last()));
+            current = false;
+        }
         nextAt = clock.getAsDouble() + backoff.next();
     }
 
     private void sweep() {
         double now = clock.getAsDouble();
-        if (socket != null && now - heard > SILENT) broke(generation, "silent");
-        if (socket == null && now >= nextAt) connect();
+        if (followed != null && now - followed.heard > SILENT) broke(followed, "silent");
+        if (asked != null && asked.socket != null && now - asked.heard > FIRST) broke(asked, "silent since it was asked");
+        boolean elsewhere = followed != null && !followed.at.equals(at);
+        if ((followed == null || elsewhere) && asked == null && now >= nextAt) connect();
     }
 
     @Override
@@ -178,6 +208,6 @@
 
     @Override
     public void refresh() {
-        if (socket != null) broke(generation, "asked for anew");
+        if (followed != null) broke(followed, "asked for anew");
     }
 }
--- a/src/main/java/trestleline/feed/FeedView.java
+++ b/src/main/java/trestleline/feed/FeedView.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import trestleline.listing.Listed;
@@ -52,6 +53,21 @@
         return all;
     }
 
+    /** What events come to, one after another: the list as it stands after them, without what is gone. */
+    public static Change merged(List<Change> events) {
+        Map<String, Listed> hosts = new LinkedHashMap<>();
+        long n = 0;
+        for (Change c : events) {
+            n = c.n();
+            if (c.mode().equals("whole")) hosts.clear();
+            for (Listed l : c.hosts()) {
+                if (l.entry().status().equals("Deleted")) hosts.remove(l.entry().host());
+                else hosts.put(l.entry().host(), l);
+            }
+        }
+        return new Change("whole", List.copyOf(hosts.values()), n, List.of());
+    }
+
     /** Reads one whole line; throws {@code IllegalArgumentException} where it can't be read. */
     public Line read(String text) {
         String line = text.trim();
--- a/src/main/java/trestleline/node/PlatformNode.java
+++ b/src/main/java/trestleline/node/PlatformNode.java
@@ -44,32 +44,51 @@
     private RtspHosts hosts;
     private SignalFront front;
     private FeedClient feed;
+    /** Where the feed is followed, as the platform told it last. */
+    private Address feedAt;
     private boolean ending;
 
     public PlatformNode(NodeConfig config) {
         this.config = config;
+        feedAt = config.feed();
         vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1));
         loop = vertx.getOrCreateContext();
     }
 
-    /** Serves; the result is the port. */
+    /**
+     * Serves; the result is the port. Fails with {@code IllegalArgumentException} where the module can't work with the settings,
+     * with {@code IllegalStateException} where it was told to end before it began, and where it can't listen.
+     */
     public Future<Integer> start() {
         Promise<Integer> port = Promise.promise();
         loop.runOnContext(v -> {
-            Front.Settings settings = config.settings();
-            Timers timers = (ms, task) -> vertx.setTimer(Math.max(1, (long) Math.ceil(ms)), t -> task.run());
-            hosts = new RtspHosts(vertx, settings, config.idleMs(), config.hostConnections(), clock);
-            feed = new FeedClient(vertx, config.view(), this::listed, u -> gateway.update(u), clock, config.seed() ^ 0x5eed);
-            gateway = new Gateway(settings, config.seed(), Long.toString(System.currentTimeMillis(), 36), MARGIN, clock, timers,
-                hosts, feed, Books.NONE);
-            hosts.attach(gateway);
-            front = new SignalFront(vertx, settings, gateway, config.viewerConnections(), config.maxOpen(), clock);
-            feed.start(config.known(), config.feed());
+            if (ending) {
+                port.fail(new IllegalStateException("told to end before it began"));
+                return;
+            }
+            try {
+                begin();
+            } catch (RuntimeException e) {
+                port.fail(e);
+                return;
+            }
             front.start(config.listen().ip(), config.listen().port()).onComplete(port);
         });
         return port.future();
     }
 
+    private void begin() {
+        Front.Settings settings = config.settings();
+        Timers timers = (ms, task) -> vertx.setTimer(Math.max(1, (long) Math.ceil(ms)), t -> task.run());
+        hosts = new RtspHosts(vertx, settings, config.idleMs(), config.hostConnections(), clock);
+        feed = new FeedClient(vertx, config.view(), this::listed, u -> gateway.update(u), clock, config.seed() ^ 0x5eed);
+        gateway = new Gateway(settings, config.seed(), Long.toString(System.currentTimeMillis(), 36), MARGIN, clock, timers,
+            hosts, feed, Books.NONE);
+        hosts.attach(gateway);
+        front = new SignalFront(vertx, settings, gateway, config.viewerConnections(), config.maxOpen(), clock);
+        feed.start(config.known(), feedAt);
+    }
+
     /** Where hosts are reached is known before the module may send there. */
     private void listed(FeedView.Change change) {
         Set<String> named = new HashSet<>();
@@ -83,8 +102,11 @@
         }
     }
 
-    /** Reads the settings again, on the caller's thread, and follows the feed that they name; a file that can't be used changes nothing. */
-    public void reload(Path file) {
+    /**
+     * Reads the settings again, on the caller's thread, and follows the feed that they name; a file that can't be used changes
+     * nothing. One reader at a time: of two that read at once, the one with the older file could have had the last word.
+     */
+    public synchronized void reload(Path file) {
         try {
             moveFeed(NodeConfig.feed(file));
         } catch (WireException e) {
@@ -92,9 +114,10 @@
         }
     }
 
-    /** Follows the feed at another address. */
+    /** Follows the feed at another address; before the start as well. */
     public void moveFeed(Address to) {
         loop.runOnContext(v -> {
+            feedAt = to;
             if (feed != null) feed.move(to);
         });
     }
@@ -102,20 +125,25 @@
     /**
      * Ends in order: new set-ups are refused, open ones answered. What stands is ended on both sides, one after another over the
      * time that is left: hundreds of viewers that come back at once hold the other gateways up, and those that play on lose
-     * nothing meanwhile, as the next process starts no sooner.
+     * nothing meanwhile, as the next process starts no sooner. Told before the start, it is over at once: nothing was taken.
      */
     public Future<Void> stop() {
         Promise<Void> done = Promise.promise();
         loop.runOnContext(v -> {
             if (ending) return;
             ending = true;
+            if (front == null) {
+                done.complete();
+                return;
+            }
             front.drain();
             double from = clock.getAsDouble(), until = GRACE + LONGEST - SPARE, longest = 0;
             for (Front.Terms t : config.settings().classes()) longest = Math.max(longest, t.deadline());
             double end = Math.max(GRACE, Math.min(until, GRACE + longest - SPARE));
             vertx.setPeriodic(POLL, t -> {
                 double age = clock.getAsDouble() - from;
-                if (age < GRACE || age < end && front.held() > 0) {
+                // while the loop is late, what came within the grace may lie unread in its socket
+                if (age < GRACE || age < end && (front.held() > 0 || gateway.lag() > 0)) {
                     if (age >= GRACE) front.endSome((int) Math.ceil(front.held() * POLL / (end - age)));
                     return;
                 }
--- a/src/main/java/trestleline/signal/SetUpReader.java
+++ b/src/main/java/trestleline/signal/SetUpReader.java
@@ -65,6 +65,12 @@
         return new SetUp(ask, waits, cargo, at);
     }
 
+    /** Whether a set-up names the host that plays it already. */
+    static boolean takesOver(Message m) {
+        String text = m.text(Message.FIGURES);
+        return text != null && (text.startsWith("at:") || text.contains(";at:"));
+    }
+
     private static Map<String, String> figures(String text) throws Unusable {
         if (text == null) throw new Unusable("figures: are missing");
         Map<String, String> all = new HashMap<>();
--- a/src/main/java/trestleline/signal/SignalFront.java
+++ b/src/main/java/trestleline/signal/SignalFront.java
@@ -40,6 +40,11 @@
     private static final int SWEEP = 250;
     /** Messages of one connection that are taken in one turn of the loop, so that all have their turn. */
     private static final int TURN = 16;
+    /**
+     * Bytes that wait here for their turn, of one connection and of all, beyond which nothing more is read from it. Up to there
+     * it is read on: a give-up or a close behind set-ups that wait would else lie unseen in the socket while they are sent on.
+     */
+    private static final int AHEAD = 1 << 17, ALL_AHEAD = 1 << 21;
     /** Set-ups that may be open on one connection. */
     private static final int OPEN = 256;
     /** Words kept for viewers without a connection, and how long (ms). */
@@ -59,6 +64,8 @@
     private final Set<Long> moved = new LinkedHashSet<>();
     private NetServer server;
     private int open;
+    /** Bytes of messages that wait for their turn. */
+    private long ahead;
     private boolean draining;
     private long turnedAway, unreadable, unusable;
 
@@ -126,11 +133,12 @@
     private final class Connection {
         final NetSocket socket;
         final MessageReader messages = new MessageReader();
+        final Backlog backlog = new Backlog();
         final Set<Long> open = new HashSet<>();
         int standing;
         /** When it last sent something that means anything; since when part of a message waits for the rest. */
         double heard = clock.getAsDouble(), half = Double.POSITIVE_INFINITY;
-        boolean closed, later;
+        boolean closed, later, paused;
 
         Connection(NetSocket socket) {
             this.socket = socket;
@@ -164,7 +172,8 @@
         socket.closeHandler(v -> closed(c));
         socket.handler(b -> {
             c.messages.add(b.getBytes());
-            take(c);
+            read(c);
+            later(c, true);
         });
     }
 
@@ -186,7 +195,8 @@
         double now = clock.getAsDouble();
         for (Connection c : new ArrayList<>(connections)) {
             boolean bare = c.open.isEmpty() && c.standing == 0;
-            if (bare && now - c.heard > SILENT || now - c.half > SILENT) c.close();
+            if (now - c.half > SILENT) unreadable(c); // what is open there has its answer before it is closed
+            else if (bare && now - c.heard > SILENT) c.close();
         }
         while (!kept.isEmpty() && kept.peekFirst().until < now) kept.removeFirst();
     }
@@ -195,6 +205,7 @@
         if (c.closed) return;
         c.closed = true;
         connections.remove(c);
+        ahead -= c.backlog.clear();
         LOG.atDebug().addKeyValue("open", c.open.size()).addKeyValue("standing", c.standing).addKeyValue("waiting", c.messages.waiting())
             .addKeyValue("quiet", clock.getAsDouble() - c.heard).log("a viewer's connection is closed");
         for (Long id : new ArrayList<>(c.open)) givenUp(calls.get(id));
@@ -217,18 +228,47 @@
         closed(c);
     }
 
-    /** Takes a few messages; while more wait, nothing is read from the connection and the others have their turn. */
+    /** Cuts what arrived into messages that wait for their turn; one that is given up behind them is not begun. */
+    private void read(Connection c) {
+        if (c.closed) return;
+        for (Message m = c.messages.next(); m != null; m = c.messages.next()) {
+            ahead += c.backlog.add(m);
+            c.half = Double.POSITIVE_INFINITY;
+        }
+        // counted from its first byte: a connection that was quiet may be read in the middle of a message
+        if (c.messages.waiting() == 0) c.half = Double.POSITIVE_INFINITY;
+        else if (c.half == Double.POSITIVE_INFINITY) c.half = clock.getAsDouble();
+    }
+
+    /**
+     * Its turn comes once what was read with it is cut into messages, and the next ones once the sockets were read again: the
+     * loop runs dozens of tasks that follow one another before it looks at a socket, so each further turn is a timer's.
+     */
+    private void later(Connection c, boolean first) {
+        if (c.later || c.closed) return;
+        c.later = true;
+        Runnable turn = () -> {
+            c.later = false;
+            take(c);
+            if (c.paused && !c.closed && c.backlog.bytes() <= AHEAD / 2) {
+                c.paused = false;
+                c.socket.resume();
+            }
+        };
+        if (first) vertx.runOnContext(v -> turn.run());
+        else vertx.setTimer(1, t -> turn.run());
+    }
+
+    /** Takes a few messages, so that the other connections have their turn as well. */
     private void take(Connection c) {
-        if (c.later) return;
         for (int i = 0; i < TURN && !c.closed; i++) {
-            Message m = c.messages.next();
-            if (m == null) {
+            Backlog.Waiting w = c.backlog.next();
+            if (w == null) {
                 if (c.messages.failed()) unreadable(c);
-                // counted from its first byte: a connection that was quiet may be read in the middle of a message
-                if (c.messages.waiting() == 0) c.half = Double.POSITIVE_INFINITY;
-                else if (i > 0 || c.half == Double.POSITIVE_INFINITY) c.half = clock.getAsDouble();
                 return;
             }
+            ahead -= w.bytes();
+            Message m = w.message();
             if (LOG.isTraceEnabled()) {
                 LOG.atTrace().addKeyValue("type", m.type()).addKeyValue("session", Digits.id(m.session()))
                     .addKeyValue("figures", m.text(Message.FIGURES)).addKeyValue("description", m.text(Message.DESCRIPTION))
@@ -237,14 +277,11 @@
             on(c, m);
         }
         if (c.closed) return;
-        c.later = true;
-        c.socket.pause();
-        vertx.runOnContext(v -> {
-            c.later = false;
-            if (c.closed) return;
-            take(c);
-            if (!c.later && !c.closed) c.socket.resume();
-        });
+        if (!c.paused && (c.backlog.bytes() > AHEAD || ahead > ALL_AHEAD)) {
+            c.paused = true;
+            c.socket.pause();
+        }
+        later(c, false);
     }
 
     // ---- messages ----
--- a/src/test/java/trestleline/FailuresTest.java
+++ b/src/test/java/trestleline/FailuresTest.java
@@ -181,4 +181,17 @@
         assertNull(Scene.sentTo(w.feed(new Front.NewRequest(Scene.ask(500, "none", 0)))));
         return sent;
     }
+
+    /** It was kept without an entry, and each later list and re-pack threw on it. */
+    @Test
+    void aSessionAtAServerThatIsNotListedStopsNothing() {
+        Scene w = Scene.of();
+        w.start("a", "b");
+        w.feed(new Front.AlreadyOpen(Scene.ask(1, "safe", 4), "nobody"));
+        w.list("patch", Scene.entry("a", "Stopping", 0, 0));
+        w.list("whole", Scene.entry("b", "Running", 0, 1));
+        assertEquals(1, Scene.only(w.later(5000).feed(new Front.Due("pack")), Front.Sleep.class).size());
+        assertEquals("b", Scene.sentTo(w.request(2, "safe")));
+        w.result(1, 0, "nobody", "ResetByPeer", true);
+    }
 }
--- /dev/null
+++ b/src/test/java/trestleline/platform/CrossingsTest.java
@@ -0,0 +1,410 @@
+package trestleline.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vertx.core.Vertx;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import trestleline.Front;
+import trestleline.core.WallClock;
+import trestleline.feed.FeedClient;
+import trestleline.feed.FeedView;
+import trestleline.listing.Address;
+import trestleline.node.NodeConfig;
+import trestleline.node.PlatformNode;
+import trestleline.platform.Stage.Got;
+import trestleline.platform.Stage.Host;
+import trestleline.platform.Stage.Viewer;
+
+/** What comes between two steps: a close, a give-up, a signal or a feed's word, each held until the other step is under way. */
+@Timeout(60)
+class CrossingsTest {
+    private static final int ANSWER = 9, RELEASE = 12;
+    /** Messages of one connection that are taken in one turn of the loop. */
+    private static final int TURN = 16;
+    /** Under the time (ms) from which a loop calls itself late. */
+    private static final long STALL = 80;
+
+    private static Stage with(Host[] into, Stage.Script... scripts) throws Exception {
+        var s = new Stage();
+        String[] all = new String[scripts.length];
+        for (int i = 0; i < scripts.length; i++) {
+            into[i] = s.host(scripts[i]);
+            all[i] = Stage.listed("h" + i, i, into[i], "up");
+        }
+        s.events.add(Stage.event(1, true, all));
+        s.feed.told().add(s.events.get(0));
+        s.start();
+        return s;
+    }
+
+    private static <T> T got(io.vertx.core.Future<T> f) throws Exception {
+        return f.toCompletionStage().toCompletableFuture().get(20, TimeUnit.SECONDS);
+    }
+
+    /**
+     * Holds the loop while something is sent, so that all of it lies in the sockets when the loop goes on; short enough that it
+     * is not late by its own measure. Whether it was sent in that time.
+     */
+    private static boolean whileItStands(Stage s, Sending what) throws Exception {
+        long from = System.nanoTime();
+        got(s.node.stall(STALL));
+        what.send();
+        return System.nanoTime() - from < TimeUnit.MILLISECONDS.toNanos(STALL * 3 / 4);
+    }
+
+    private interface Sending {
+        void send() throws Exception;
+    }
+
+    private static List<Long> heard(Host h) {
+        return h.all("SETUP").stream().map(r -> Long.parseUnsignedLong(r.session(), 16)).sorted().toList();
+    }
+
+    /** Leaves the gateway connections to its host that are idle: what is begun next is written in the same turn. */
+    private static void warm(Viewer v, Host h, long from) throws Exception {
+        int n = 40;
+        v.send(setUps(from, from + n));
+        for (int i = 0; i < n; i++) assertEquals(ANSWER, v.next().type());
+        for (long id = from; id < from + n; id++) v.release(id, 31);
+        Stage.until("all is released", () -> LongStream.range(from, from + n).allMatch(id -> h.all("TEARDOWN").stream()
+            .anyMatch(r -> r.session().equals(Stage.hex(id)))));
+    }
+
+    private static byte[] setUp(long id) {
+        return Viewer.setUp(id, "free", "a", "home:0;copies:4;top:1;viewer:" + Stage.hex(id), Stage.ASKED);
+    }
+
+    private static byte[] setUps(long from, long to) {
+        var all = new ByteArrayOutputStream();
+        for (long id = from; id < to; id++) all.writeBytes(setUp(id));
+        return all.toByteArray();
+    }
+
+    /** They were begun sixteen at a time, before the close behind them was read. */
+    @Test
+    void setUpsBeforeACloseThatLiesInTheSocketAreNotBegun() throws Exception {
+        Host[] h = new Host[1];
+        try (var s = with(h, Stage.WILLING)) {
+            Viewer stays = s.viewer();
+            for (long id = 1000;; id += 1000) { // again where this thread was held up, and the crossing did not come about
+                Viewer leaves = s.viewer();
+                warm(stays, h[0], id);
+                long first = id + 100;
+                boolean crossed = whileItStands(s, () -> {
+                    leaves.send(setUps(first, first + 150));
+                    leaves.close();
+                });
+                stays.setUp(id + 999, "free");
+                assertEquals(ANSWER, stays.next().type());
+                stays.release(id + 999, 31);
+                if (!crossed) continue;
+                // the bytes are read before the close behind them: one turn's messages may have been begun by then
+                List<Long> begun = heard(h[0]).stream().filter(i -> i >= first && i < first + 150).toList();
+                assertTrue(begun.size() <= TURN, "begun for nobody: " + begun);
+                return;
+            }
+        }
+    }
+
+    @Test
+    void setUpsBeforeTheirGiveUpsAreNotBegunAndTheOthersAre() throws Exception {
+        Host[] h = new Host[1];
+        try (var s = with(h, Stage.WILLING)) {
+            for (long id = 1000;; id += 1000) {
+                Viewer v = s.viewer();
+                warm(v, h[0], id);
+                long first = id + 100;
+                boolean crossed = whileItStands(s, () -> {
+                    v.send(setUps(first, first + 100));
+                    var giveUps = new ByteArrayOutputStream();
+                    for (long i = first; i < first + 100; i++) {
+                        if (i != first + 50) giveUps.writeBytes(new Stage.Message(12, i).with(17, "\20").bytes());
+                    }
+                    v.send(giveUps.toByteArray());
+                });
+                v.setUp(first + 200, "free");
+                var answered = new java.util.HashSet<Long>();
+                while (!answered.containsAll(List.of(first + 50, first + 200))) answered.add(v.next().session());
+                if (!crossed) continue; // what it had of it ends with its stage
+                assertEquals(List.of(first + 50, first + 200), heard(h[0]).stream().filter(i -> i >= first).toList());
+                return;
+            }
+        }
+    }
+
+    /** What is read ahead is bounded: a flood that nobody could take at once is taken in turns, and each has its one answer. */
+    @Test
+    void moreThanIsReadAheadHasItsAnswersAllTheSame() throws Exception {
+        Host[] h = new Host[1];
+        try (var s = with(h, Stage.WILLING)) {
+            Viewer v = s.viewer();
+            int n = 2000;
+            v.send(setUps(1000, 1000 + n));
+            var answered = new java.util.HashSet<Long>();
+            for (int i = 0; i < n; i++) assertTrue(answered.add(v.next().session()), "answered twice");
+        }
+    }
+
+    /** The connection was closed under them, without a word. */
+    @Test
+    void halfAMessageEndsAConnectionOnlyAfterTheAnswersThatItIsOwed() throws Exception {
+        Host[] h = new Host[1];
+        try (var s = with(h, (r, link) -> { })) { // never answers
+            Viewer v = s.viewer();
+            v.setUp(1, "paid");
+            v.send(new byte[] {0, 100, 1, 2, 3});
+            Got g = v.next();
+            assertEquals(List.of(RELEASE, 1L), List.of(g.type(), g.session()));
+            Stage.until("it is closed", () -> v.closed);
+            assertTrue(v.got.isEmpty());
+        }
+    }
+
+    /** A host that is not on the list stopped the module from taking any list, and from packing, for good. */
+    @Test
+    void aSessionAtAHostThatNobodyListsEndsAndStopsNothing() throws Exception {
+        Host[] h = new Host[2];
+        try (var s = with(h, Stage.WILLING, Stage.WILLING)) {
+            Viewer v = s.viewer();
+            v.send(Viewer.setUp(7, "free", "a", "home:0;copies:4;top:1;viewer:0000000000000007;at:nobody", Stage.ASKED));
+            Got over = v.next();
+            assertEquals(List.of(RELEASE, 7L), List.of(over.type(), over.session()));
+            s.feed.tell(Stage.event(2, false, Stage.listed("h0", 0, h[0], "draining")));
+            s.feed.tell(Stage.event(3, false, Stage.listed("h2", 2, h[1], "up")));
+            s.feed.tell(Stage.event(4, false, Stage.listed("h1", 1, h[1], "draining")));
+            Stage.until("only what came after is used", () -> {
+                try {
+                    v.setUp(System.nanoTime(), "free");
+                    return v.next().type() == ANSWER && h[1].got.stream().anyMatch(r -> r.method().equals("SETUP"));
+                } catch (IOException | InterruptedException e) {
+                    throw new IllegalStateException(e);
+                }
+            });
+        }
+    }
+
+    // ---- the feed ----
+
+    /** A feed that accepts and says nothing. */
+    private static final class Mute implements AutoCloseable {
+        final ServerSocket server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        final List<Long> asked = new CopyOnWriteArrayList<>();
+        final List<Socket> links = new CopyOnWriteArrayList<>();
+
+        Mute() throws IOException {
+            var t = new Thread(() -> {
+                try {
+                    while (true) {
+                        Socket s = server.accept();
+                        links.add(s);
+                        asked.add(System.nanoTime());
+                    }
+                } catch (IOException e) {
+                    // closed
+                }
+            });
+            t.setDaemon(true);
+            t.start();
+        }
+
+        Address at() {
+            return new Address("127.0.0.1", server.getLocalPort());
+        }
+
+        @Override
+        public void close() throws IOException {
+            server.close();
+            for (Socket s : links) s.close();
+        }
+    }
+
+    /** The old feed was dropped before the new one answered: what it still told was lost until then. */
+    @Test
+    void theOldFeedIsHeardUntilTheNewOneSpeaks() throws Exception {
+        Host[] h = new Host[1];
+        try (var s = with(h, Stage.WILLING); var mute = new Mute()) {
+            s.node.moveFeed(mute.at());
+            Stage.until("the new one is asked", () -> !mute.asked.isEmpty());
+            s.feed.tell(Stage.event(2, false, Stage.listed("h0", 0, h[0], "draining")));
+            Stage.until("what the old one tells is done", () -> {
+                try (var v = s.viewer()) {
+                    v.setUp(System.nanoTime(), "free");
+                    return v.next().type() == RELEASE;
+                } catch (IOException | InterruptedException e) {
+                    throw new IllegalStateException(e);
+                }
+            });
+            assertEquals(1, mute.links.size(), "given up on before a second was over");
+        }
+    }
+
+    /** Asked anew after 2.1 s each time: told too late from the second silence on. */
+    @Test
+    void aFeedThatTakesAConnectionAndSaysNothingIsAskedAgainWithinTheTimeThatCountsAsTold() throws Exception {
+        Host[] h = new Host[1];
+        try (var s = with(h, Stage.WILLING); var mute = new Mute()) {
+            s.node.moveFeed(mute.at());
+            Stage.until("it was asked three times", () -> mute.asked.size() >= 3);
+            double ms = (mute.asked.get(2) - mute.asked.get(1)) / 1e6;
+            assertTrue(ms < 2000, "silent for " + ms + " ms before it was asked again");
+        }
+    }
+
+    /** The parts that the feed's client speaks to, written down. */
+    private static final class Following implements AutoCloseable {
+        final Vertx vertx = Vertx.vertx();
+        final List<Front.Update> updates = new CopyOnWriteArrayList<>();
+        FeedClient client;
+
+        Following(FeedView view, List<FeedView.Change> known, Address at) throws Exception {
+            var ready = new CompletableFuture<Void>();
+            vertx.getOrCreateContext().runOnContext(v -> {
+                client = new FeedClient(vertx, view, c -> { }, updates::add, new WallClock(), 7);
+                client.start(known, at);
+                ready.complete(null);
+            });
+            ready.get(20, TimeUnit.SECONDS);
+        }
+
+        List<String> modes() {
+            return updates.stream().map(Front.Update::mode).toList();
+        }
+
+        @Override
+        public void close() throws Exception {
+            vertx.close().toCompletionStage().toCompletableFuture().get(20, TimeUnit.SECONDS);
+        }
+    }
+
+    /** The second event of the start was taken for news of a feed that nobody follows yet. */
+    @Test
+    void whatIsKnownAtTheStartIsOldUntilTheFeedSaysThatItIsNot() throws Exception {
+        try (var s = new Stage(); var mute = new Mute()) {
+            Host h = s.host(Stage.WILLING);
+            s.events.add(Stage.event(1, true, Stage.listed("h0", 0, h, "up"), Stage.listed("h1", 1, h, "up")));
+            s.events.add(Stage.event(2, false, Stage.listed("h1", 1, h, "removed"), Stage.listed("h0", 0, h, "draining")));
+            s.events.add(Stage.event(3, false, Stage.listed("h2", 2, h, "up")));
+            NodeConfig config = NodeConfig.read(s.config(256), "test");
+            try (var f = new Following(config.view(), config.known(), mute.at())) {
+                Stage.until("it is asked", () -> !mute.asked.isEmpty());
+                assertEquals(List.of("stale_copy"), f.modes());
+                assertEquals(List.of("h0 Stopping", "h2 Running"),
+                    f.updates.get(0).entries().stream().map(e -> e.host() + " " + e.status()).toList());
+                mute.links.get(0).getOutputStream().write("{\"n\":3}\n".getBytes(StandardCharsets.US_ASCII));
+                Stage.until("now it is", () -> f.modes().equals(List.of("stale_copy", "patch")));
+            }
+        }
+    }
+
+    /** The module was told nothing while no feed was followed at all. */
+    @Test
+    void aMoveToWhereNobodyListensIsToldOnceTheOldFeedIsGone() throws Exception {
+        try (var s = new Stage()) {
+            int nobody;
+            try (var none = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+                nobody = none.getLocalPort();
+            }
+            s.events.add(Stage.event(1, true));
+            s.feed.told().add(s.events.get(0));
+            NodeConfig config = NodeConfig.read(s.config(256), "test");
+            try (var f = new Following(config.view(), config.known(), config.feed())) {
+                Stage.until("it is followed", () -> f.modes().equals(List.of("stale_copy", "patch")));
+                f.vertx.runOnContext(v -> f.client.move(new Address("127.0.0.1", nobody)));
+                Stage.until("the new one was tried", () -> f.client.breaks() > 1);
+                assertFalse(f.modes().contains("broken"), "the old one is there still");
+                for (Socket link : s.feed.links) link.close();
+                Stage.until("told", () -> f.modes().equals(List.of("stale_copy", "patch", "broken")));
+                assertEquals(1, s.feed.asked.size(), "asked where it no longer is");
+            }
+        }
+    }
+
+    // ---- signals ----
+
+    /** The end was lost with an exception, and the process stood until it was killed. */
+    @Test
+    void whoIsToldToEndBeforeTheStartEnds() throws Exception {
+        try (var s = new Stage()) {
+            s.events.add(Stage.event(1, true));
+            var node = new PlatformNode(NodeConfig.read(s.config(256), "test"));
+            try {
+                var over = node.stop();
+                var started = node.start();
+                got(over);
+                assertThrows(ExecutionException.class, () -> got(started));
+                assertTrue(s.feed.asked.isEmpty());
+            } finally {
+                got(node.kill());
+            }
+        }
+    }
+
+    @Test
+    void aMoveBeforeTheStartIsDone() throws Exception {
+        try (var s = new Stage(); var next = new Stage.Feed(s.feed.told())) {
+            s.events.add(Stage.event(1, true));
+            s.feed.told().add(s.events.get(0));
+            s.node = new PlatformNode(NodeConfig.read(s.config(256), "test"));
+            s.node.moveFeed(new Address("127.0.0.1", next.port()));
+            got(s.node.start());
+            Stage.until("the new one is asked", () -> !next.asked.isEmpty());
+            assertTrue(s.feed.asked.isEmpty());
+        }
+    }
+
+    /** Read side by side, the older file had the last word. The reader of the older one is held in the middle of it. */
+    @Test
+    void ofTwoReloadsTheOneOfTheNewerFileCounts(@TempDir Path dir) throws Exception {
+        Host[] h = new Host[1];
+        try (var s = with(h, Stage.WILLING); var older = new Stage.Feed(); var newer = new Stage.Feed()) {
+            older.told().add(s.events.get(0)); // each feed goes on by itself: only the newer one tells what counts
+            newer.told().add(s.events.get(0));
+            ObjectNode config = s.config(256);
+            Path held = dir.resolve("held"), file = Files.writeString(dir.resolve("file"),
+                config.put("feed", "127.0.0.1:" + newer.port()).toString());
+            assertEquals(0, new ProcessBuilder("mkfifo", held.toString()).start().waitFor());
+            var first = new Thread(() -> s.node.reload(held));
+            var second = new Thread(() -> s.node.reload(file));
+            first.start();
+            try (var pipe = Files.newOutputStream(held)) { // opens once the first reads
+                second.start();
+                Stage.until("the second has read, or waits for its turn",
+                    () -> second.getState() == Thread.State.BLOCKED || second.getState() == Thread.State.TERMINATED);
+                pipe.write(config.put("feed", "127.0.0.1:" + older.port()).toString().getBytes(StandardCharsets.UTF_8));
+            }
+            first.join();
+            second.join();
+            Stage.until("the newer is followed", () -> !newer.asked.isEmpty());
+            s.feed.close();
+            newer.tell(Stage.event(2, false, Stage.listed("h0", 0, h[0], "draining")));
+            Stage.until("what it tells is done", () -> {
+                try (var v = s.viewer()) {
+                    v.setUp(System.nanoTime(), "free");
+                    return v.next().type() == RELEASE;
+                } catch (IOException | InterruptedException e) {
+                    throw new IllegalStateException(e);
+                }
+            });
+        }
+    }
+}
--- a/src/test/java/trestleline/platform/NodeIT.java
+++ b/src/test/java/trestleline/platform/NodeIT.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -85,6 +86,72 @@
         }
     }
 
+    /** The module's own word on them was lost with the loop's task: the process stood for 30 s, then ended with 1. */
+    @Test
+    void settingsThatTheModuleCantWorkWithEndWithTwoAndTheirField() throws Exception {
+        try (var s = new Stage()) {
+            ObjectNode config = s.config(SOCKETS);
+            ((ObjectNode) config.path("settings")).put("replicasOfMe", 0);
+            Process p = start(write(config));
+            assertTrue(p.waitFor(25, TimeUnit.SECONDS), "it stands");
+            assertEquals(2, p.exitValue(), text("err"));
+            assertTrue(text("err").contains("replicasOfMe"), text("err"));
+        }
+    }
+
+    /** A pipe in the settings' place: whoever opens it to write holds the process in the middle of its reading. */
+    private Path pipe() throws Exception {
+        Path pipe = dir.resolve("pipe");
+        assertEquals(0, new ProcessBuilder("mkfifo", pipe.toString()).start().waitFor());
+        return pipe;
+    }
+
+    /** It ended the process: nothing took the signal before the settings were read. */
+    @Test
+    void settingsThatChangeWhileTheyAreReadAtTheStartAreReadAgain() throws Exception {
+        try (var s = new Stage(); var next = new Stage.Feed(s.feed.told())) {
+            Path pipe = pipe();
+            Process p = start(pipe);
+            try {
+                try (var out = Files.newOutputStream(pipe)) { // opens once the process reads
+                    signal(p, "HUP");
+                    s.events.add(Stage.event(1, true));
+                    s.feed.told().add(s.events.get(0));
+                    out.write(s.config(SOCKETS).toString().getBytes(StandardCharsets.UTF_8));
+                    Files.move(write(s.config(SOCKETS).put("feed", "127.0.0.1:" + next.port())), pipe,
+                        StandardCopyOption.REPLACE_EXISTING);
+                }
+                Stage.until("the feed that is named now is asked", () -> !next.asked.isEmpty());
+                assertTrue(p.isAlive());
+            } finally {
+                p.destroyForcibly();
+            }
+        }
+    }
+
+    @Test
+    void toldToEndWhileTheSettingsAreReadItEndsInOrder() throws Exception {
+        try (var s = new Stage()) {
+            for (String[] told : new String[][] {{"TERM"}, {"HUP", "TERM"}, {"TERM", "HUP"}}) {
+                Path pipe = pipe();
+                Process p = start(pipe);
+                try {
+                    try (var out = Files.newOutputStream(pipe)) {
+                        for (String name : told) signal(p, name);
+                        out.write(s.config(SOCKETS).toString().getBytes(StandardCharsets.UTF_8));
+                        Files.move(write(s.config(SOCKETS)), pipe, StandardCopyOption.REPLACE_EXISTING);
+                    }
+                    assertTrue(p.waitFor(20, TimeUnit.SECONDS), "still there after " + List.of(told));
+                    assertEquals(0, p.exitValue(), List.of(told) + ": " + text("err"));
+                    assertEquals("", text("out"), "took connections after " + List.of(told));
+                    Files.delete(pipe);
+                } finally {
+                    p.destroyForcibly();
+                }
+            }
+        }
+    }
+
     @Test
     void signalsAndLimitsOfARealProcessUnderLoad() throws Exception {
         try (var s = new Stage()) {
--- a/src/test/java/trestleline/platform/PlatformPathTest.java
+++ b/src/test/java/trestleline/platform/PlatformPathTest.java
@@ -519,9 +519,10 @@
                 r -> r.session().equals(Stage.hex(1))));
             a.close();
             var early = h.links.get(0);
+            var ids = new java.util.concurrent.atomic.AtomicLong(100);
             Stage.until("the host has a second connection", () -> {
                 try { // two that are read in one go are out at once
-                    long id = 100 + h.all("SETUP").size();
+                    long id = ids.getAndAdd(2); // never one twice, however late the host hears of the last ones
                     var two = new java.io.ByteArrayOutputStream();
                     for (int i = 0; i < 2; i++) two.writeBytes(Viewer.setUp(id + i, "free", "a", "home:0;copies:4;top:1;viewer:" + Stage.hex(id + i), Stage.ASKED));
                     b.send(two.toByteArray());
--- a/src/test/java/trestleline/platform/Stage.java
+++ b/src/test/java/trestleline/platform/Stage.java
@@ -323,6 +323,7 @@
             accept(server, s -> {
                 var in = new java.io.BufferedReader(new java.io.InputStreamReader(s.getInputStream(), StandardCharsets.US_ASCII));
                 String line = in.readLine();
+                if (line == null) return; // given up on before it asked
                 links.add(s);
                 synchronized (told) {
                     int last = Integer.parseInt(line.split(" ")[1]);
