Many gateways share turns at a cold host, so that it gets work while it warms

Need: the ramp was kept by starving. Turns of one gateway each, by the clock, outlast the warm-up where gateways are more than a cold host takes set-ups in it (a hundred gateways: a round of 90 s, a warm-up of 12 s). Seen in ColdFleetTest, the module itself 20 to 100 times in simulated time, skewed traffic, a surge, restarts: a cold host got 4 to 6 % of a warm one's work from 20 or 30 gateways and 1 % from a hundred, at 13 to 33 % of what the rule bears.

Change: Decide.sharedTurn, only where a round of single turns outlasts the warm-up: turns overlap, one set-up in each, and the number of turns that may touch the span of the settings is bounded by what they allow and half the slack of the rule, however many ask at once. Fewer gateways keep their turns. Servers' turns are apart by name.

Without the bound's line the test finds 220 to 400 %; with single turns it finds too little work.

--- a/src/main/java/trestleline/Decide.java
+++ b/src/main/java/trestleline/Decide.java
@@ -60,6 +60,7 @@
     /** Trust left after a failed set-up, and the part of the missing trust a success restores. */
     private static final double DISTRUST = 0.5, RETRUST = 0.3;
 
+
     private final Front.Settings set;
     private final SplittableRandom random;
     private final double born;
@@ -236,6 +237,7 @@
         double from = Math.max(s.since, s.backAt);
         if (r.cold() <= 0) return true;
         if (s.lost || now - from < r.cold()) {
+            if (set.fronts() > places(s) * r.coldShare()) return sharedTurn(s); // a round would outlast it
             // turns of one length for all: cut by a gap that shrinks with warmth, a clock that counts from
             // long ago gave every front turns of its own, and three of them sent in the same second
             double gap = r.cold() / (places(s) * warmth(s));
@@ -247,6 +249,30 @@
         return now - s.lastPaced >= gap;
     }
 
+    /**
+     * More fronts than a cold server takes set-ups while it warms: most would have no turn before it is warm,
+     * and from a hundred of them it got a hundredth of a warm one's work. So turns overlap, each a step after
+     * the one before, with one set-up in each. However many ask at once, what is sent in a span is no more
+     * than the turns that touch it: what the settings allow and half of what the rule leaves to chance, as
+     * set-ups differ in work. At first a turn is as long as the span; longer ones gained nothing where requests
+     * are rare and halved the work where they are not. Servers have their turns apart.
+     */
+    private boolean sharedTurn(Server s) {
+        double span = 1.2 * set.rules().fall(); // what is decided may be written a little later
+        double step = 2 * span / atOnce(s, set.rules().coldShare());
+        double turn = atOnce(s, warmth(s)) * step - span, fronts = set.fronts();
+        double turns = now / step - set.me() - Math.floorMod(s.id.hashCode(), set.fronts());
+        double age = (turns - fronts * Math.floor(turns / fronts)) * step;
+        return age < turn && s.lastPaced < now - age;
+    }
+
+    /** Turns that may touch a span besides one that begins in it. */
+    private double atOnce(Server s, double warmth) {
+        Front.Rules r = set.rules();
+        double allowed = Math.max(0.01, r.overloadFactor() * places(s) * warmth * r.fall() / r.cold());
+        return allowed + Math.sqrt(allowed);
+    }
+
     // ---- the account of server and rack room ----
 
     private Pipe rack(Server s) {
