Servers that a whole list leaves out are forgotten once nothing plays there

Cause: Decide.onUpdate only marked them as not running, and gone() asked the status of their last entry, so that a feed which tells whole lists left each old host counted in the mean size and kept for good. Change: a whole list marks all as unlisted until it names them. Measured: the new test of FailuresTest fails without it (all 50 names kept); module tests green.

--- a/src/main/java/trestleline/Decide.java
+++ b/src/main/java/trestleline/Decide.java
@@ -158,10 +158,16 @@
             return;
         }
         if (!e.mode().equals("stale_copy")) subscribed = true;
-        if (!e.mode().equals("patch")) servers.values().forEach(s -> s.running = false);
+        if (!e.mode().equals("patch")) {
+            for (Server s : servers.values()) {
+                s.running = false;
+                s.unlisted = true;
+            }
+        }
         for (Front.Entry entry : e.entries()) {
             Server s = servers.computeIfAbsent(entry.host(), Server::new);
             s.entry = entry;
+            s.unlisted = false;
             s.running = entry.status().equals("Running");
             if (entry.since() > s.since) {
                 s.since = entry.since();
@@ -178,7 +184,7 @@
     }
 
     private static boolean gone(Server s) {
-        return s.entry.status().equals("Deleted");
+        return s.unlisted || s.entry.status().equals("Deleted");
     }
 
     /** Sets link and uplink sizes as told; a machine's size is its weight or, untold, its places. */
@@ -254,8 +260,8 @@
      * and from a hundred of them it got a hundredth of a warm one's work. So turns overlap, each a step after
      * the one before, with one set-up in each. However many ask at once, what is sent in a span is no more
      * than the turns that touch it: what the settings allow and half of what the rule leaves to chance, as
-     * set-ups differ in work. At first a turn is as long as the span; longer ones gained nothing where requests
-     * are rare and halved the work where they are not. Servers have their turns apart.
+     * set-ups differ in work. At first a turn is as long as the span; longer ones gained nothing where
+     * requests are rare and halved the work where they are not. Servers have their turns apart.
      */
     private boolean sharedTurn(Server s) {
         double span = 1.2 * set.rules().fall(); // what is decided may be written a little later
--- a/src/main/java/trestleline/State.java
+++ b/src/main/java/trestleline/State.java
@@ -24,7 +24,7 @@
         final Pipe link = new Pipe();
         final Map<Long, Session> held = new LinkedHashMap<>();
         Front.Entry entry;
-        boolean running;
+        boolean running, unlisted;
         double appeal, since, backAt = Double.NEGATIVE_INFINITY, lastPaced = Double.NEGATIVE_INFINITY;
         double suspectUntil = Double.NEGATIVE_INFINITY, shortAt = Double.NEGATIVE_INFINITY, readAt, trust = 1;
         int strikes;
--- a/src/test/java/trestleline/FailuresTest.java
+++ b/src/test/java/trestleline/FailuresTest.java
@@ -194,4 +194,20 @@
         assertEquals("b", Scene.sentTo(w.request(2, "safe")));
         w.result(1, 0, "nobody", "ResetByPeer", true);
     }
+
+    /** Servers that a whole list left out were counted, and kept, for good. */
+    @Test
+    void aServerThatAWholeListLeavesOutIsForgottenOnceNothingPlaysThere() throws Exception {
+        Scene w = Scene.of();
+        w.start("a", "b", "c");
+        w.feed(new Front.AlreadyOpen(Scene.ask(1, "safe", 4), "c"));
+        for (int i = 0; i < 50; i++) w.list("whole", Scene.entry("b" + i, "Running", 0, 1));
+        var kept = Decide.class.getDeclaredField("servers");
+        kept.setAccessible(true);
+        assertEquals(java.util.Set.of("b49", "c"), ((java.util.Map<?, ?>) kept.get(w.front)).keySet());
+        w.result(1, 0, "c", "Ok", true);
+        w.later(3000).feed(new Front.Due("pack"));
+        w.list("whole", Scene.entry("b49", "Running", 0, 1));
+        assertEquals(java.util.Set.of("b49"), ((java.util.Map<?, ?>) kept.get(w.front)).keySet());
+    }
 }
