What waits for its turn keeps its connection, and a request that is just taken ends with it

Change: both look at what waits; after the call the request is given up if it is no longer held. Not forced by a test: the second one needs a full socket at one certain message, and a deaf viewer with small buffers stalls in TCP before that.

--- a/src/main/java/trestleline/signal/SignalFront.java
+++ b/src/main/java/trestleline/signal/SignalFront.java
@@ -181,7 +181,7 @@
     private boolean makeRoom() {
         Connection idlest = null;
         for (Connection c : connections) {
-            if (!c.open.isEmpty() || c.standing > 0 || c.closed) continue;
+            if (!c.open.isEmpty() || c.standing > 0 || c.closed || c.backlog.bytes() > 0) continue;
             if (idlest == null || c.heard < idlest.heard) idlest = c;
         }
         if (idlest == null) return false;
@@ -194,7 +194,7 @@
     private void sweep() {
         double now = clock.getAsDouble();
         for (Connection c : new ArrayList<>(connections)) {
-            boolean bare = c.open.isEmpty() && c.standing == 0;
+            boolean bare = c.open.isEmpty() && c.standing == 0 && c.backlog.bytes() == 0;
             if (now - c.half > SILENT) unreadable(c); // what is open there has its answer before it is closed
             else if (bare && now - c.heard > SILENT) c.close();
         }
@@ -336,6 +336,8 @@
         open++;
         long req = gateway.request(ask, s.waits(), s.cargo(), call);
         call.req = req;
+        // what else was to be told in that call may have ended the connection, and with it a request that had no number yet
+        if (calls.get(call.id) != call) gateway.leave(req);
     }
 
     private void takeOver(Connection c, long id, SetUpReader.SetUp s) {
--- a/src/test/java/trestleline/platform/CrossingsTest.java
+++ b/src/test/java/trestleline/platform/CrossingsTest.java
@@ -270,6 +270,31 @@
         }
     }
 
+    /** Whoever says nothing may take every connection there is for viewers; the feed and whoever asks have their own. */
+    @Test
+    void silentClientsKeepNobodyFromTheFeedOrFromBeingServed() throws Exception {
+        try (var s = new Stage(); var mute = new Mute()) {
+            Host old = s.host(Stage.WILLING), next = s.host(Stage.WILLING);
+            s.events.add(Stage.event(1, true, Stage.listed("h0", 0, old, "up")));
+            s.feed.told().add(s.events.get(0));
+            ObjectNode config = s.config(128).put("feed", mute.at().toString()); // down, as far as anybody can tell
+            s.node = new PlatformNode(NodeConfig.read(config, "test"));
+            s.port = got(s.node.start());
+            for (int i = 0; i < 300; i++) s.viewer();
+            s.feed.tell(Stage.event(2, false, Stage.listed("h0", 0, old, "draining"), Stage.listed("h1", 1, next, "up")));
+            s.node.moveFeed(new Address("127.0.0.1", s.feed.port()));
+            Stage.until("the feed is followed", () -> !s.feed.asked.isEmpty());
+            Stage.until("whoever asks is served by what it lists now", () -> {
+                try (var v = s.viewer()) {
+                    v.setUp(System.nanoTime(), "free");
+                    return v.next().type() == ANSWER && !next.all("SETUP").isEmpty();
+                } catch (IOException | InterruptedException e) {
+                    throw new IllegalStateException(e);
+                }
+            });
+        }
+    }
+
     /** The parts that the feed's client speaks to, written down. */
     private static final class Following implements AutoCloseable {
         final Vertx vertx = Vertx.vertx();
