A give-up that is read before its set-up, on another connection, is heard

Cause: connections are read in any order; SignalFront.release dropped a give-up whose set-up was not read yet, and the set-up went on to its answer for nobody. Change: give-ups that name nothing held are remembered for a second, 256 at most; a set-up on another connection that they name is not begun, a session handed over is ended at its host. On one connection the order is what it is.

--- a/src/main/java/trestleline/signal/SignalFront.java
+++ b/src/main/java/trestleline/signal/SignalFront.java
@@ -49,6 +49,9 @@
     private static final int OPEN = 256;
     /** Words kept for viewers without a connection, and how long (ms). */
     private static final int KEPT = 1024, KEEP = 8000;
+    /** Give-ups that came before their set-up, on another connection, are remembered: so many at most, and so long (ms). */
+    private static final int EARLY = 256;
+    private static final double EARLY_FOR = 1000;
     /** Viewers that were moved and have not come back yet are remembered, at most so many. */
     private static final int MOVED = 256, MARK_MOVED = 8;
 
@@ -62,6 +65,7 @@
     private final Map<Long, Call> calls = new LinkedHashMap<>();
     private final ArrayDeque<Kept> kept = new ArrayDeque<>();
     private final Set<Long> moved = new LinkedHashSet<>();
+    private final Map<Long, Early> early = new LinkedHashMap<>();
     private NetServer server;
     private int open;
     /** Bytes of messages that wait for their turn. */
@@ -71,6 +75,8 @@
 
     private record Kept(byte[] bytes, double until) { }
 
+    private record Early(Connection on, double until) { }
+
     /**
      * @param most connections held at once
      * @param mostOpen set-ups without their answer at once
@@ -199,6 +205,7 @@
             else if (bare && now - c.heard > SILENT) c.close();
         }
         while (!kept.isEmpty() && kept.peekFirst().until < now) kept.removeFirst();
+        early.values().removeIf(e -> e.until < now);
     }
 
     private void closed(Connection c) {
@@ -315,6 +322,7 @@
             takeOver(c, m.session(), s);
             return;
         }
+        if (cameEarly(c, m.session())) return; // its viewer has gone, and is owed nothing
         if (calls.containsKey(m.session())) { // one id, two requests: whoever sends that has no answer to tell apart
             unreadable(c);
             return;
@@ -347,19 +355,36 @@
         calls.put(id, call);
         c.standing++;
         call.session = gateway.resume(new Open(s.ask(), s.at(), s.cargo().session(), Open.UNKNOWN, s.cargo()), call);
+        if (cameEarly(c, id) && calls.get(id) == call) over(call);
     }
 
     /** From a viewer: the set-up is given up, or the session that stands is over. It may come on any connection. */
     private void release(Connection c, Message m) {
         Call call = calls.get(m.session());
-        if (call == null) return;
+        if (call == null) {
+            // connections are read in any order: what it gives up may lie unread on another one
+            early.put(m.session(), new Early(c, clock.getAsDouble() + EARLY_FOR));
+            if (early.size() > EARLY) early.remove(early.keySet().iterator().next());
+            return;
+        }
         c.heard = clock.getAsDouble();
-        if (call.session == null) givenUp(call);
-        else {
-            Session session = call.session;
-            call.done();
-            gateway.end(session, End.VIEWER_GONE);
+        over(call);
+    }
+
+    private void over(Call call) {
+        if (call.session == null) {
+            givenUp(call);
+            return;
         }
+        Session session = call.session;
+        call.done();
+        gateway.end(session, End.VIEWER_GONE);
+    }
+
+    /** Whether its give-up came first; on the connection of the set-up itself the order is what it is. */
+    private boolean cameEarly(Connection c, long id) {
+        Early e = early.remove(id);
+        return e != null && e.on != c && e.until > clock.getAsDouble();
     }
 
     private void givenUp(Call call) {
--- a/src/test/java/trestleline/platform/CrossingsTest.java
+++ b/src/test/java/trestleline/platform/CrossingsTest.java
@@ -152,6 +152,32 @@
         }
     }
 
+    /** Connections are read in any order: the set-up was begun, and went on to its answer for nobody. */
+    @Test
+    void aGiveUpThatIsReadBeforeItsSetUpOnAnotherConnectionIsHeard() throws Exception {
+        Host[] h = new Host[1];
+        try (var s = with(h, Stage.WILLING)) {
+            Viewer one = s.viewer(), other = s.viewer();
+            other.release(5, 16);
+            other.send(new Stage.Message(52, 1).with(17, "\0").bytes());
+            other.next(); // it was read
+            one.send(setUp(5));
+            one.setUp(6, "free");
+            Got g = one.next();
+            assertEquals(List.of(ANSWER, 6L), List.of(g.type(), g.session()));
+            other.release(7, 16); // on its own connection what comes later is later
+            other.setUp(7, "free");
+            Got own = other.next();
+            assertEquals(List.of(ANSWER, 7L), List.of(own.type(), own.session()));
+            assertEquals(List.of(6L, 7L), heard(h[0]));
+            other.release(8, 31); // and of a session that is handed over, which its host plays on
+            other.send(new Stage.Message(52, 2).with(17, "\0").bytes());
+            other.next();
+            one.send(Viewer.setUp(8, "free", "a", "home:0;copies:4;top:1;viewer:0000000000000008;at:h0", Stage.ASKED));
+            Stage.until("the host hears of it", () -> h[0].all("TEARDOWN").stream().anyMatch(r -> r.session().equals(Stage.hex(8))));
+        }
+    }
+
     /** What is read ahead is bounded: a flood that nobody could take at once is taken in turns, and each has its one answer. */
     @Test
     void moreThanIsReadAheadHasItsAnswersAllTheSame() throws Exception {
