--- a/src/test/java/trestleline/platform/CrossingsTest.java
+++ b/src/test/java/trestleline/platform/CrossingsTest.java
@@ -229,6 +229,25 @@
         }
     }
 
+    /** Told again what it holds, it holds it once: its end is told once, and leaves nothing that keeps the connection. */
+    @Test
+    void aSessionThatIsHandedOverWhereItIsHeldIsOneSession() throws Exception {
+        Host[] h = new Host[1];
+        try (var s = with(h, Stage.WILLING)) {
+            Viewer v = s.viewer();
+            v.setUp(1, "free");
+            assertEquals(ANSWER, v.next().type());
+            v.send(Viewer.setUp(1, "free", "a", "home:0;copies:4;top:1;viewer:0000000000000001;at:h0", Stage.ASKED));
+            v.send(new Stage.Message(52, 1).with(17, "\0").bytes());
+            v.next(); // both were read
+            h[0].links.get(0).release(Stage.hex(1), 16);
+            Got over = v.next();
+            assertEquals(List.of(RELEASE, 1L), List.of(over.type(), over.session()));
+            Stage.until("nothing keeps the connection", () -> v.closed);
+            assertTrue(v.got.isEmpty(), "told twice");
+        }
+    }
+
     // ---- the feed ----
 
     /** A feed that accepts and says nothing. */
