The end of a session that had no turn yet when its connection closed is heard

Cause, found on reading the change again: SignalFront.closed dropped all that was read and waited, also the viewers' ends of sessions and sessions handed over, which no connection owns; such a session stood at its host for nobody. Before messages were read ahead they were taken as they came. Change: of what waits on a connection that closes only new set-ups are dropped.

--- a/src/main/java/trestleline/Decide.java
+++ b/src/main/java/trestleline/Decide.java
@@ -60,7 +60,6 @@
     /** Trust left after a failed set-up, and the part of the missing trust a success restores. */
     private static final double DISTRUST = 0.5, RETRUST = 0.3;
 
-
     private final Front.Settings set;
     private final SplittableRandom random;
     private final double born;
--- a/src/main/java/trestleline/signal/Backlog.java
+++ b/src/main/java/trestleline/signal/Backlog.java
@@ -51,13 +51,4 @@
     long bytes() {
         return bytes;
     }
-
-    /** Drops all; how many bytes waited. */
-    long clear() {
-        long were = bytes;
-        all.clear();
-        setUps.clear();
-        bytes = 0;
-        return were;
-    }
 }
--- a/src/main/java/trestleline/signal/SignalFront.java
+++ b/src/main/java/trestleline/signal/SignalFront.java
@@ -212,12 +212,21 @@
         if (c.closed) return;
         c.closed = true;
         connections.remove(c);
-        ahead -= c.backlog.clear();
+        leftBehind(c);
         LOG.atDebug().addKeyValue("open", c.open.size()).addKeyValue("standing", c.standing).addKeyValue("waiting", c.messages.waiting())
             .addKeyValue("quiet", clock.getAsDouble() - c.heard).log("a viewer's connection is closed");
         for (Long id : new ArrayList<>(c.open)) givenUp(calls.get(id));
     }
 
+    /** What was read and had no turn yet: set-ups are for nobody now, but no connection owns the sessions that others end or hand over. */
+    private void leftBehind(Connection c) {
+        for (Backlog.Waiting w = c.backlog.next(); w != null; w = c.backlog.next()) {
+            ahead -= w.bytes();
+            Message m = w.message();
+            if (m.type() == Message.RELEASE || m.type() == Message.SET_UP && SetUpReader.takesOver(m)) on(c, m);
+        }
+    }
+
     /**
      * Nothing that comes on it can be told apart any more. What is open there gets its one answer and is given up; the connection
      * ends once that is written.
--- a/src/test/java/trestleline/platform/CrossingsTest.java
+++ b/src/test/java/trestleline/platform/CrossingsTest.java
@@ -229,6 +229,31 @@
         }
     }
 
+    /** No connection owns what stands: an end that was read and had no turn yet when its connection closed was forgotten with it. */
+    @Test
+    void theEndOfASessionBehindOtherMessagesAndBeforeACloseIsHeard() throws Exception {
+        Host[] h = new Host[1];
+        try (var s = with(h, Stage.WILLING)) {
+            Viewer stays = s.viewer();
+            for (long id = 1;; id++) {
+                long session = id;
+                stays.setUp(session, "free");
+                assertEquals(ANSWER, stays.next().type());
+                Viewer leaves = s.viewer();
+                var all = new ByteArrayOutputStream();
+                for (int i = 0; i < 3 * TURN; i++) all.writeBytes(new Stage.Message(52, 1).with(17, "\0").bytes());
+                all.writeBytes(new Stage.Message(12, session).with(17, "\37").bytes());
+                boolean crossed = whileItStands(s, () -> {
+                    leaves.send(all.toByteArray());
+                    leaves.socket.shutdownOutput();
+                });
+                Stage.until("the host hears that it is over", () -> h[0].all("TEARDOWN").stream().anyMatch(
+                    r -> r.session().equals(Stage.hex(session))));
+                if (crossed) return;
+            }
+        }
+    }
+
     /** Told again what it holds, it holds it once: its end is told once, and leaves nothing that keeps the connection. */
     @Test
     void aSessionThatIsHandedOverWhereItIsHeldIsOneSession() throws Exception {
