--- a/review/standins/Host.java
+++ b/review/standins/Host.java
@@ -34,13 +34,47 @@
 
     private volatile boolean closed;
 
+    /** While true, new connections come up late: they are taken when it is false again. */
+    private volatile boolean late;
+
     Host(String name, Rec rec) throws IOException {
+        this(name, rec, 200);
+    }
+
+    Host(String name, Rec rec, int backlog) throws IOException {
         this.name = name;
         this.rec = rec;
-        server = new ServerSocket(0, 200, InetAddress.getByName("127.0.0.1"));
+        server = new ServerSocket(0, backlog, InetAddress.getByName("127.0.0.1"));
         Harness.daemon(this::accept);
     }
 
+    /**
+     * Lets new connections come up late: the host takes none until {@link #takeConnections}, and its queue is filled with
+     * connections that say nothing. Open connections are served as ever. Returns the fillers.
+     */
+    List<Socket> delayConnections() throws IOException {
+        late = true;
+        List<Socket> fillers = new ArrayList<>();
+        for (int i = 0; i < 64; i++) {
+            var filler = new Socket();
+            fillers.add(filler);
+            try {
+                filler.connect(new java.net.InetSocketAddress("127.0.0.1", port()), 60);
+            } catch (java.net.SocketTimeoutException e) {
+                rec.line("host %s: new connections come up late from now on (%d fill its queue)", name, i);
+                return fillers;
+            }
+        }
+        throw new IOException("the queue of connections can't be filled");
+    }
+
+    /** Takes connections again. */
+    void takeConnections(List<Socket> fillers) throws IOException {
+        for (Socket filler : fillers) filler.close();
+        late = false;
+        rec.line("host %s: new connections come up at once again", name);
+    }
+
     int port() {
         return server.getLocalPort();
     }
@@ -49,6 +83,7 @@
         while (!closed) {
             try {
                 Socket socket = server.accept();
+                while (late && !closed) Thread.sleep(1);
                 socket.setTcpNoDelay(true);
                 synchronized (sockets) {
                     sockets.add(socket);
@@ -57,6 +92,9 @@
                 Harness.daemon(() -> serve(socket));
             } catch (IOException e) {
                 return;
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
             }
         }
     }
