--- a/review/standins/Harness.java
+++ b/review/standins/Harness.java
@@ -96,6 +96,16 @@
             builder.environment().put("TMPDIR", folder.toString());
             builder.redirectOutput(folder.resolve("gateway.out").toFile()).redirectErrorStream(true);
             process = builder.start();
+            Process started = process;
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+                started.destroyForcibly();
+                try {
+                    started.waitFor(5, TimeUnit.SECONDS);
+                    deleteFolder(folder);
+                } catch (IOException | InterruptedException e) {
+                    // what is left is in the folder for temporary files
+                }
+            }));
             rec.line("gateway: process %d started, listens on 127.0.0.1:%d", process.pid(), port);
             long end = System.currentTimeMillis() + 30_000;
             while (System.currentTimeMillis() < end && process.isAlive()) {
@@ -142,6 +152,7 @@
     }
 
     static void deleteFolder(Path folder) throws IOException {
+        if (!Files.exists(folder)) return;
         try (var files = Files.walk(folder)) {
             for (Path file : files.sorted(java.util.Comparator.reverseOrder()).toList()) Files.deleteIfExists(file);
         }
