A finished request leaves no timer behind, however long its viewer said it would wait

What callers saw: two clients that stated a time to wait of 9,999,999 ms and asked again as soon as they were refused left the gateway without memory after some 46,000 refusals.

Cause: core.Gateway started a timer for each request, due at the stated time, and for each attempt, due at its expiry, and nobody cancelled them. Their closures hold the request, its payload and its viewer.

Evidence: histogram of the live objects during the case, taken with the request map at 108 entries: 46,171 RequestState, as many InternalTimerHandler, ScheduledFutureTask and closures of Gateway.request. The other holders were ruled out by the same counts: 25 sessions in the module, 108 requests in the signaling server, 25 attempts.

Change: Timers.after returns the timer, and the core cancels it when the request is answered or its viewer leaves, and when the attempt is over. What is kept follows what is open. VertxTimers holds the one implementation that stood twice.

Why it works: cancelling takes the task out of Vert.x' map and out of the event loop's queue at once.

Tests, seen to fail without the change: GatewayTest.requestsThatAreOverLeaveNoTimers (2 timers expected, 168 left without both cancels, 18 without that of the attempt) and PlatformNodeIT.refusedSetUpsThatStateALongWaitDoNotFillTheHeap (no message for the viewer). Both pass now.

--- a/src/main/java/trestleline/core/Gateway.java
+++ b/src/main/java/trestleline/core/Gateway.java
@@ -80,6 +80,10 @@
         double writtenAtMs;
         RequestPayload payload = RequestPayload.NONE;
         Session session;
+        /** Fails the request if nobody has answered it in time; null once it is answered or its viewer has left. */
+        Timers.Timer overdueTimer;
+        /** Ends the pending attempt at its time; null unless an attempt is pending. */
+        Timers.Timer attemptTimer;
 
         RequestState(
                 Placement.SessionRequest sessionRequest,
@@ -92,6 +96,19 @@
             this.viewer = viewer;
             this.rung = requestClass.minRung();
         }
+
+        /** Stops waiting for the answer: the timer would keep the request for as long as its viewer said it waits. */
+        void stopOverdueTimer() {
+            if (overdueTimer != null) overdueTimer.cancel();
+            overdueTimer = null;
+        }
+
+        /** Makes no attempt pending any more. */
+        void clearAttempt() {
+            attempt = null;
+            if (attemptTimer != null) attemptTimer.cancel();
+            attemptTimer = null;
+        }
     }
 
     /**
@@ -208,7 +225,7 @@
         request.payload = payload;
         requests.put(requestId, request);
         requestCount++;
-        timers.after(
+        request.overdueTimer = timers.after(
                 ttlMs + OVERDUE_GRACE_MS,
                 () -> eventQueue.submit(EventQueue.Priority.DEFERRABLE, () -> failOverdue(request)));
         eventQueue.submit(EventQueue.Priority.DEFERRABLE, () -> {
@@ -247,7 +264,7 @@
     public void cancelRequest(long requestId) {
         RequestState request = requests.get(requestId);
         if (request == null || request.viewer == null || request.session != null) return;
-        request.viewer = null;
+        takeViewer(request);
         cancelledCount++;
         eventQueue.submit(EventQueue.Priority.DEFERRABLE, () -> {
             if (requests.get(requestId) != request) return;
@@ -551,7 +568,7 @@
         request.decidedAtMs = nowMs;
         attemptCount++;
         if (isPaid(attempt)) attemptJournal.recordIntent(attempt);
-        timers.after(
+        request.attemptTimer = timers.after(
                 expiresAtMs - nowMs,
                 () -> eventQueue.submit(EventQueue.Priority.DEFERRABLE, () -> {
                     if (request.attempt != attempt) return;
@@ -615,7 +632,8 @@
             onAttemptOver(request, attempt, Outcome.OK, report);
             return;
         }
-        request.attempt = null;
+        request.clearAttempt();
+        request.stopOverdueTimer();
         if (isPaid(attempt)) attemptJournal.recordOutcome(attempt, Outcome.OK);
         request.session = new Session(attempt, request.rung, clock.getAsDouble());
         playing++;
@@ -634,7 +652,7 @@
 
     private void onAttemptOver(RequestState request, Attempt attempt, Outcome outcome, Map<String, Double> report) {
         if (request.attempt != attempt) return;
-        request.attempt = null;
+        request.clearAttempt();
         request.pendingSetUp = null;
         if (outcome == Outcome.CONNECT_ERROR || outcome == Outcome.RESET_BY_PEER)
             hostList.recordConnectionLost(attempt.host(), clock.getAsDouble());
@@ -665,10 +683,11 @@
         mediaHosts.rungChanged(request.session.attempt(), action.rung());
     }
 
-    /** Returns the viewer and clears it from the request, so that it cannot be answered twice. */
+    /** Returns the viewer and clears it from the request, so that it cannot be answered twice or waited for. */
     private static Viewer takeViewer(RequestState request) {
         Viewer viewer = request.viewer;
         request.viewer = null;
+        request.stopOverdueTimer();
         return viewer;
     }
 
--- a/src/main/java/trestleline/daemon/GatewayNode.java
+++ b/src/main/java/trestleline/daemon/GatewayNode.java
@@ -21,6 +21,7 @@
 import trestleline.core.WallClock;
 import trestleline.discovery.HostListClient;
 import trestleline.discovery.ListedHost;
+import trestleline.eventloop.VertxTimers;
 import trestleline.hosts.HttpHostClient;
 import trestleline.http.HttpFront;
 import trestleline.ledger.store.LedgerStore;
@@ -134,7 +135,7 @@
             LedgerFactory.Opened opened,
             SecureRandom random) {
         var clock = new WallClock();
-        Timers timers = hooks.timers((ms, task) -> vertx.setTimer(Math.max(1, (long) Math.ceil(ms)), t -> task.run()));
+        Timers timers = hooks.timers(new VertxTimers(vertx));
         hostClient = new HttpHostClient(vertx, settings, config.media().silentMs(), clock);
         listClient = new HostListClient(
                 vertx, config, hostClient, hooks.hostListListener(u -> gateway.updateHostList(u)), random.nextLong());
--- a/src/main/java/trestleline/node/PlatformNode.java
+++ b/src/main/java/trestleline/node/PlatformNode.java
@@ -13,10 +13,10 @@
 import org.slf4j.LoggerFactory;
 import trestleline.core.AttemptJournal;
 import trestleline.core.Gateway;
-import trestleline.core.Timers;
 import trestleline.core.WallClock;
 import trestleline.discovery.ListedHost;
 import trestleline.discovery.LoopbackAddress;
+import trestleline.eventloop.VertxTimers;
 import trestleline.feed.FeedClient;
 import trestleline.feed.FeedParser;
 import trestleline.placement.Placement;
@@ -94,7 +94,6 @@
 
     private void createComponents() {
         Placement.Settings settings = config.settings();
-        Timers timers = (delayMs, task) -> vertx.setTimer(Math.max(1, (long) Math.ceil(delayMs)), timer -> task.run());
         hosts = new RtspHostClient(vertx, settings, config.hostIdleTimeoutMs(), config.maxHostConnections(), clock);
         feed = new FeedClient(
                 vertx,
@@ -109,7 +108,7 @@
                 Long.toString(System.currentTimeMillis(), 36),
                 DEADLINE_MARGIN_MS,
                 clock,
-                timers,
+                new VertxTimers(vertx),
                 hosts,
                 feed,
                 AttemptJournal.NONE);
--- a/src/test/java/trestleline/ArchitectureTest.java
+++ b/src/test/java/trestleline/ArchitectureTest.java
@@ -64,6 +64,8 @@
             .definedBy("trestleline.feed")
             .layer("node")
             .definedBy("trestleline.node")
+            .layer("eventloop")
+            .definedBy("trestleline.eventloop")
             .layer("cli")
             .definedBy("trestleline.cli")
             .whereLayer("module")
@@ -87,7 +89,9 @@
             .whereLayer("feed")
             .mayOnlyAccessLayers("module", "core", "discovery")
             .whereLayer("node")
-            .mayOnlyAccessLayers("module", "core", "settings", "signaling", "rtsp", "feed", "discovery")
+            .mayOnlyAccessLayers("module", "core", "settings", "signaling", "rtsp", "feed", "discovery", "eventloop")
+            .whereLayer("eventloop")
+            .mayOnlyAccessLayers("core")
             .whereLayer("core")
             .mayOnlyAccessLayers("module")
             .whereLayer("config")
@@ -99,7 +103,8 @@
             .whereLayer("http")
             .mayOnlyAccessLayers("module", "core", "config", "cmcd", "hosts", "media")
             .whereLayer("daemon")
-            .mayOnlyAccessLayers("module", "core", "config", "hosts", "discovery", "http", "billing", "ledger", "store")
+            .mayOnlyAccessLayers(
+                    "module", "core", "config", "hosts", "discovery", "http", "billing", "ledger", "store", "eventloop")
             .whereLayer("emulation")
             .mayOnlyAccessLayers("module", "cmcd", "media", "conformance", "discovery", "ledger")
             .whereLayer("scenario")
@@ -191,7 +196,8 @@
                     "trestleline.signaling",
                     "trestleline.rtsp",
                     "trestleline.feed",
-                    "trestleline.node")
+                    "trestleline.node",
+                    "trestleline.eventloop")
             .should()
             .dependOnClassesThat()
             .resideInAnyPackage("trestleline.emulation", "trestleline.scenario", "trestleline.conformance");
--- a/src/test/java/trestleline/core/GatewayTest.java
+++ b/src/test/java/trestleline/core/GatewayTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.SplittableRandom;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -18,6 +19,8 @@
 /** Tests the core in simulated time against hosts with random outcomes, viewers that leave and a stalled event loop. */
 class GatewayTest {
     private static final int HOST_COUNT = 4;
+    /** The longest time to wait that a viewer can state on the platform: seven digits. */
+    private static final double STATED_PATIENCE_MS = 9_999_999;
 
     /** Discrete-event simulation of the hosts, the host list and the timers around one gateway. Times are in ms. */
     private static final class Simulation implements MediaHosts, HostListSource {
@@ -66,8 +69,10 @@
             publishRandomHostList();
         }
 
-        void schedule(double delayMs, Runnable action) {
-            tasks.add(new Task(nowMs + Math.max(0.01, delayMs), nextSequence++, action));
+        Timers.Timer schedule(double delayMs, Runnable action) {
+            var task = new Task(nowMs + Math.max(0.01, delayMs), nextSequence++, action);
+            tasks.add(task);
+            return () -> tasks.remove(task);
         }
 
         /** Advances time and runs the tasks due by then; tasks that a stall has made overdue run at its end. */
@@ -206,10 +211,17 @@
     }
 
     private static RecordingViewer sendRequest(Simulation simulation, String serviceClass, long key) {
-        double ttlMs = serviceClass.equals("paid") ? 3000 : 5000;
-        var viewer = new RecordingViewer(simulation, simulation.nowMs + ttlMs + 40);
+        return sendRequest(simulation, serviceClass, key, serviceClass.equals("paid") ? 3000 : 5000);
+    }
+
+    private static RecordingViewer sendRequest(
+            Simulation simulation, String serviceClass, long key, double patienceMs) {
+        var viewer = new RecordingViewer(simulation, simulation.nowMs + patienceMs + 40);
         viewer.requestId = simulation.gateway.request(
-                new Placement.SessionRequest(0, serviceClass, "", key, 5, 0, Double.NaN, 0, HOST_COUNT, 2, 0), viewer);
+                new Placement.SessionRequest(0, serviceClass, "", key, 5, 0, Double.NaN, 0, HOST_COUNT, 2, 0),
+                patienceMs,
+                RequestPayload.NONE,
+                viewer);
         return viewer;
     }
 
@@ -244,6 +256,36 @@
         assertTrue(simulation.writes > 20, "too few writes for the run to be meaningful");
     }
 
+    /** Guards against timers that keep a finished request for as long as its viewer said it would wait. */
+    @Test
+    void requestsThatAreOverLeaveNoTimers() {
+        Map<String, Integer> endings = new HashMap<>();
+        for (long seed = 1; seed <= 30; seed++) {
+            var simulation = new Simulation(seed);
+            simulation.advanceTo(simulation.nowMs + 10_000);
+            int timersBefore = simulation.tasks.size();
+            List<RecordingViewer> viewers = new ArrayList<>();
+            for (int i = 0; i < 150; i++) {
+                simulation.advanceTo(simulation.nowMs + simulation.random.nextDouble() * 120);
+                if (simulation.random.nextInt(12) == 0) simulation.publishRandomHostList();
+                String serviceClass = simulation.random.nextBoolean() ? "paid" : "safe";
+                var viewer = sendRequest(simulation, serviceClass, i, STATED_PATIENCE_MS);
+                viewers.add(viewer);
+                if (simulation.random.nextInt(4) != 0) continue;
+                simulation.schedule(simulation.random.nextDouble() * 100, () -> {
+                    if (viewer.answerCount == 0) viewer.lastAnswer = "cancelled";
+                    simulation.gateway.cancelRequest(viewer.requestId);
+                });
+            }
+            simulation.advanceTo(simulation.nowMs + 60_000);
+            for (RecordingViewer viewer : viewers) endings.merge(viewer.lastAnswer, 1, Integer::sum);
+            Counts counts = simulation.gateway.counts();
+            assertEquals(0, counts.waiting() + counts.playing(), "open requests, seed " + seed);
+            assertEquals(timersBefore, simulation.tasks.size(), "timers left, endings " + endings + ", seed " + seed);
+        }
+        assertEquals(Set.of("granted", "refused", "failed", "cancelled"), endings.keySet());
+    }
+
     @Test
     void hostListUpdateDuringConnectPreventsWrite() {
         var simulation = new Simulation(1);
--- a/src/test/java/trestleline/mutation/Flaw.java
+++ b/src/test/java/trestleline/mutation/Flaw.java
@@ -39,7 +39,8 @@
             () -> FaultyHooks.wrapTimers(real -> {
                 int[] longTimers = {0};
                 return (ms, task) -> {
-                    if (ms < 700 || ++longTimers[0] % 3 == 0) real.after(ms, task);
+                    boolean kept = ms < 700 || ++longTimers[0] % 3 == 0;
+                    return kept ? real.after(ms, task) : () -> {};
                 };
             })),
     DEADLINE_TOO_LONG(
--- a/src/test/java/trestleline/platform/GatewayFixture.java
+++ b/src/test/java/trestleline/platform/GatewayFixture.java
@@ -439,9 +439,15 @@
 
         /** The bytes of a set-up; {@code description} may be null. */
         static byte[] setUp(long id, String service, String tenant, String figures, String description) {
+            return setUp(id, service, tenant, figures, description, 3000);
+        }
+
+        /** The same for a viewer that states how long (ms) it waits. */
+        static byte[] setUp(
+                long id, String service, String tenant, String figures, String description, int patienceMs) {
             var message = new MessageBuilder(1, id)
                     .with(3, service)
-                    .with(4, "3000")
+                    .with(4, Integer.toString(patienceMs))
                     .with(5, tenant)
                     .with(7, toHex(0x7f3aL))
                     .with(8, figures);
--- a/src/test/java/trestleline/platform/ModuleEventsTest.java
+++ b/src/test/java/trestleline/platform/ModuleEventsTest.java
@@ -20,6 +20,7 @@
 import trestleline.core.MediaHosts;
 import trestleline.core.PreWriteCheck;
 import trestleline.core.WallClock;
+import trestleline.eventloop.VertxTimers;
 import trestleline.placement.Placement;
 import trestleline.platform.GatewayFixture.Host;
 import trestleline.platform.GatewayFixture.Viewer;
@@ -87,7 +88,7 @@
                         "g",
                         MARGIN_MS,
                         clock,
-                        (ms, task) -> vertx.setTimer(Math.max(1, (long) Math.ceil(ms)), timer -> task.run()),
+                        new VertxTimers(vertx),
                         hosts,
                         new HostListSource() {
                             @Override
--- a/src/test/java/trestleline/platform/PlatformNodeIT.java
+++ b/src/test/java/trestleline/platform/PlatformNodeIT.java
@@ -169,6 +169,37 @@
         }
     }
 
+    /** Guards against refused set-ups that stay in memory for as long as they said they would wait. */
+    @Test
+    void refusedSetUpsThatStateALongWaitDoNotFillTheHeap() throws Exception {
+        int refusals = 100_000; // twice as many as filled the heap
+        int open = 100;
+        int longestPatienceMs = 9_999_999;
+        try (var fixture = new GatewayFixture()) {
+            fixture.initialEvents.add(GatewayFixture.feedEvent(1, true)); // without hosts every set-up is refused
+            fixture.feed.sentEvents().add(fixture.initialEvents.get(0));
+            int port = freePort();
+            Process process = start(write(fixture.config(SOCKETS).put("listen", "127.0.0.1:" + port)));
+            try {
+                GatewayFixture.waitUntil(
+                        "it listens: " + text("err"), () -> text("out").contains("listening 127.0.0.1:" + port));
+                var flooding = new Viewer(port);
+                for (int i = 1; i <= refusals + open; i++) {
+                    if (i > open) assertEquals(12, flooding.nextMessage().type());
+                    String figures = "home:0;copies:4;top:1;viewer:" + GatewayFixture.toHex(i);
+                    flooding.send(
+                            Viewer.setUp(i, "free", "a", figures, GatewayFixture.OFFER_DESCRIPTION, longestPatienceMs));
+                }
+                var usual = new Viewer(port);
+                usual.setUp(refusals + open + 1, "paid");
+                assertEquals(12, usual.nextMessage().type());
+                assertEquals("", text("err"));
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
     @Test
     void signalsAndResourceLimitsUnderLoad() throws Exception {
         try (var fixture = new GatewayFixture()) {
