The retry budget counts by slots: a request leaves nothing in the module once it is over

Cause: PlacementPolicy.onRequest noted the time of each request, and the times were removed only when a retry was considered under a retry budget. Without a budget nobody removed them; with one, they grew as long as nothing was retried, and by the rate of the window otherwise.

Change: RetryBudget, taken out of PlacementPolicy, counts requests and retries in slots of a thousandth of the window, and nothing where retries are not limited. Slots are rounded to the safe side, so that the budget is never wider than the rule.

--- a/src/main/java/trestleline/placement/PlacementPolicy.java
+++ b/src/main/java/trestleline/placement/PlacementPolicy.java
@@ -113,10 +113,7 @@
     private final Map<Long, Double> worthByViewer = new LinkedHashMap<>();
 
     private final List<FreedShare> freedShares = new ArrayList<>();
-    /** Times of the requests within the window of the retry budget. */
-    private final ArrayDeque<Double> requestTimes = new ArrayDeque<>();
-    /** Times of the retries within the window of the retry budget. */
-    private final ArrayDeque<Double> retryTimes = new ArrayDeque<>();
+    private final RetryBudget retryBudget;
 
     private List<Placement.Action> actions = new ArrayList<>();
     private double now;
@@ -159,6 +156,7 @@
                             && requestClass.minRung() < this.settings.ladder().ratesKb().length,
                     "specifics.classFloor");
         }
+        retryBudget = new RetryBudget(this.settings.rules());
         random = new SplittableRandom(seed);
         createdAt = now;
         this.now = now;
@@ -643,7 +641,7 @@
 
     private void onRequest(Placement.SessionRequest request) {
         int classIndex = classIndex(request.service());
-        requestTimes.addLast(now);
+        retryBudget.recordRequest(now);
         requestCount++;
         if (classIndex < 0) {
             actions.add(new Placement.Fail(request.req()));
@@ -1087,8 +1085,8 @@
             return false;
         }
         if (session.mayHaveRun && !mayRepeat(session, host, requestClass)) return false;
-        if (session.attemptIndex >= 0 && !isWithinRetryBudget()) return false;
-        if (session.attemptIndex >= 0) retryTimes.addLast(now);
+        if (session.attemptIndex >= 0 && !retryBudget.allowsRetry(now)) return false;
+        if (session.attemptIndex >= 0) retryBudget.recordRetry(now);
         session.attemptIndex++;
         session.awaitingAnswer = true;
         session.host = host;
@@ -1127,17 +1125,6 @@
         };
     }
 
-    /** Whether one more retry stays within the retry budget: a fixed number plus a share of the recent requests. */
-    private boolean isWithinRetryBudget() {
-        Placement.Rules rules = settings.rules();
-        if (rules.retryWindow() <= 0) return true;
-        while (!requestTimes.isEmpty() && requestTimes.peekFirst() <= now - rules.retryWindow()) {
-            requestTimes.removeFirst();
-        }
-        while (!retryTimes.isEmpty() && retryTimes.peekFirst() < now - rules.retryWindow()) retryTimes.removeFirst();
-        return retryTimes.size() + 1 <= rules.freeRetries() + rules.retryShare() * requestTimes.size();
-    }
-
     /**
      * Sets a session's rung, never below the lowest rung of its class nor above what viewer and class can use. All
      * changes of a rung that this gateway decides go through this method.
--- a/src/test/java/trestleline/placement/ScaleTest.java
+++ b/src/test/java/trestleline/placement/ScaleTest.java
@@ -20,6 +20,8 @@
     private static final int GATEWAYS = 150;
     private static final int HOSTS = 12;
     private static final int NOTIFIED_GATEWAYS = 40;
+    /** As many as two viewers that ask as fast as they can bring in about a minute. */
+    private static final int REFUSED_REQUESTS = 1_000_000;
 
     private static Scenario gatewayScenario(int gatewayIndex, int gateways) {
         Scenario scenario = Scenario.withDefaults();
@@ -50,6 +52,31 @@
         return rungs;
     }
 
+    /** Guards against request times that are kept for good, without a retry budget or while nothing is retried. */
+    @Test
+    void refusedRequestsLeaveNothingInMemory() {
+        for (double retryWindowMs : new double[] {0, 10_000}) {
+            Scenario scenario = Scenario.withDefaults();
+            scenario.retryWindowMs = retryWindowMs;
+            scenario.start(); // without hosts every request is refused
+            long usedBefore = usedHeapBytes();
+            for (int i = 1; i <= REFUSED_REQUESTS; i++)
+                scenario.module.handle(
+                        scenario.nowMs + 0.01 * i, new Placement.NewRequest(Scenario.requestFor(i, "safe", 4)));
+            long keptBytes = usedHeapBytes() - usedBefore;
+            scenario.module.handle(scenario.nowMs, new Placement.TimerFired("pack")); // still in use
+            assertTrue(
+                    keptBytes < REFUSED_REQUESTS,
+                    keptBytes + " bytes kept for " + REFUSED_REQUESTS + " refusals, window " + retryWindowMs);
+        }
+    }
+
+    /** Bytes of the heap that are in use after a collection. */
+    private static long usedHeapBytes() {
+        System.gc();
+        return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+    }
+
     @Test
     void manyGatewaysAdmitOnAnEmptyFleetWithinItsCapacity() {
         double usedKb = 0;
