A set-up that was given up at its host is forgotten when the host confirms

RtspHostClient started a timer of 1.5 s for each teardown, which nobody cancelled when the host confirmed it; its closure held the set-up, the request and the description of up to 8 KiB. Viewers drive how many there are.

Evidence: a viewer that takes back each set-up as it reaches its host, 100 open at once with descriptions of 8 KB: live objects of 38.4 MB of a heap of 40 MB, 3,321 RequestState, 3,222 of them held by the closure of that timer (histogram). The gateway went on, with nothing left to spare.

An entry is a session id and a time, and goes with the confirmation.

Test, seen to fail without the change: PlatformNodeIT.setUpsThatAreTakenBackAtTheHostDoNotFillTheHeap (1,784 requests held with 100 open; at most 100 now). The test of refused set-ups counts what is held in the same way: none.

--- a/src/main/java/trestleline/rtsp/RtspHostClient.java
+++ b/src/main/java/trestleline/rtsp/RtspHostClient.java
@@ -45,7 +45,7 @@
 
     private static final int CSEQ_TEARDOWN = 2;
     private static final int CSEQ_OPTIONS = 3;
-    /** Time (ms) after which a connection on which a teardown is still unconfirmed is not used again. */
+    /** Time (ms) after which the next sweep retires a connection on which a teardown is still unconfirmed. */
     private static final int TEARDOWN_TIMEOUT_MS = 1500;
 
     private static final int SWEEP_INTERVAL_MS = 250;
@@ -206,8 +206,8 @@
         final RtspReader reader = new RtspReader();
         /** Set-ups that wait for their answer, by session id. */
         final Map<String, SetUp> pendingSetUps = new HashMap<>();
-        /** Ids of sessions that were torn down here; the host has not confirmed it yet. */
-        final Set<String> unconfirmedTeardowns = new LinkedHashSet<>();
+        /** When sessions were torn down here (Unix ms), by id, oldest first; the host has not confirmed it yet. */
+        final Map<String, Double> unconfirmedTeardowns = new LinkedHashMap<>();
         /** Playing sessions that were set up here: the host reports their end on this connection first. */
         final Set<HostSession> boundSessions = new LinkedHashSet<>();
 
@@ -237,6 +237,11 @@
                     && (endpoint.connections.size() > 1 || endpoint.sessions.isEmpty());
         }
 
+        boolean hasOverdueTeardown(double now) {
+            if (unconfirmedTeardowns.isEmpty()) return false;
+            return now - unconfirmedTeardowns.values().iterator().next() > TEARDOWN_TIMEOUT_MS;
+        }
+
         /** Lets it take no more set-ups, and closes it as soon as it is closable. */
         void retire() {
             retired = true;
@@ -435,6 +440,7 @@
                 checkLiveness(endpoint);
             }
             for (Connection connection : List.copyOf(endpoint.connections)) {
+                if (connection.hasOverdueTeardown(now)) connection.retired = true;
                 if ((connection.retired
                                 || connection.isIdle()
                                         && now - connection.lastUsedAt > REUSABLE_IDLE_FRACTION * hostIdleTimeoutMs)
@@ -720,11 +726,8 @@
         protected void releaseAtHost() {
             if (connection != null && !connection.closed && connection.reader.failure() == null) {
                 Connection target = connection;
-                target.unconfirmedTeardowns.add(sessionId);
+                target.unconfirmedTeardowns.put(sessionId, clock.getAsDouble());
                 target.tearDown(sessionId, null);
-                vertx.setTimer(TEARDOWN_TIMEOUT_MS, t -> {
-                    if (target.unconfirmedTeardowns.contains(sessionId)) target.retire();
-                });
                 return;
             }
             if (endpoint == null || !endpoint.liveness.isListed()) return;
--- a/src/test/java/trestleline/platform/PlatformNodeIT.java
+++ b/src/test/java/trestleline/platform/PlatformNodeIT.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -194,6 +195,61 @@
                 usual.setUp(refusals + open + 1, "paid");
                 assertEquals(12, usual.nextMessage().type());
                 assertEquals("", text("err"));
+                assertEquals(0, heldRequests(process), "requests held, none open");
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
+    /** Number of requests in the heap of the process after a collection, as its JVM counts them. */
+    private static int heldRequests(Process process) throws Exception {
+        Process jcmd = new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "jcmd").toString(),
+                        Long.toString(process.pid()),
+                        "GC.class_histogram")
+                .redirectErrorStream(true)
+                .start();
+        String histogram = new String(jcmd.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertEquals(0, jcmd.waitFor(), histogram);
+        Matcher row = Pattern.compile("(\\d+) +\\d+ +trestleline\\.core\\.Gateway\\$RequestState\\b")
+                .matcher(histogram);
+        return row.find() ? Integer.parseInt(row.group(1)) : 0;
+    }
+
+    /** Guards against given-up set-ups that stay in memory after their host has confirmed the end. */
+    @Test
+    void setUpsThatAreTakenBackAtTheHostDoNotFillTheHeap() throws Exception {
+        int takenBack = 30_000;
+        int open = 100;
+        String description = GatewayFixture.OFFER_DESCRIPTION + "a".repeat(8000); // a line may hold 8 KiB
+        try (var fixture = new GatewayFixture()) {
+            var reached = new LinkedBlockingQueue<Long>();
+            Host host = fixture.host((request, connection) -> {
+                if (request.method().equals("TEARDOWN")) connection.respond(request, 200, "");
+                else reached.add(Long.parseLong(request.session(), 16));
+            });
+            fixture.initialEvents.add(GatewayFixture.feedEvent(1, true, GatewayFixture.hostEntry("h0", 0, host, "up")));
+            fixture.feed.sentEvents().add(fixture.initialEvents.get(0));
+            int port = freePort();
+            Process process = start(write(fixture.config(SOCKETS).put("listen", "127.0.0.1:" + port)));
+            try {
+                GatewayFixture.waitUntil(
+                        "it listens: " + text("err"), () -> text("out").contains("listening 127.0.0.1:" + port));
+                var viewer = new Viewer(port);
+                for (int i = 1; i <= takenBack + open; i++) {
+                    if (i > open) {
+                        Long id = reached.poll(15, TimeUnit.SECONDS);
+                        assertTrue(id != null, "no set-up reached the host any more: " + text("err"));
+                        viewer.sendRelease(id, 16);
+                    }
+                    String figures = "home:0;copies:4;top:1;viewer:" + GatewayFixture.toHex(i);
+                    viewer.send(Viewer.setUp(i, "paid", "a", figures, description, 9_999_999));
+                    host.requests.clear();
+                }
+                assertEquals("", text("err"));
+                int held = heldRequests(process);
+                assertTrue(held <= open, held + " requests held, " + open + " open");
             } finally {
                 process.destroyForcibly();
             }
