An exception in a deferred task no longer ends the heartbeat of the event loop

Cause: EventQueue.heartbeat runs the deferred tasks, and core.Gateway starts the next heartbeat after it. Whatever a task throws goes past that line.

Change: the queue logs an exception of a task and goes on with the next. An OutOfMemoryError is not caught here; it is to end the process.

--- a/src/main/java/trestleline/core/EventQueue.java
+++ b/src/main/java/trestleline/core/EventQueue.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayDeque;
 import java.util.function.DoubleSupplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Queue of a gateway's tasks, run in order of arrival while the event loop keeps time.
@@ -13,6 +15,7 @@
  * once more. The size is bounded by the live requests, their attempts and their timers.
  */
 final class EventQueue {
+    private static final Logger LOG = LoggerFactory.getLogger(EventQueue.class);
     /** Interval between heartbeats of the event loop, ms. */
     static final double HEARTBEAT_INTERVAL_MS = 20;
     /** The loop counts as stalled if its last heartbeat is longer ago than this (ms). Well below any drain grace. */
@@ -84,10 +87,19 @@
                 Runnable next = urgentTasks.pollFirst();
                 if (next == null && lagMs() == 0) next = deferrableTasks.pollFirst();
                 if (next == null) return;
-                next.run();
+                run(next);
             }
         } finally {
             running = false;
         }
     }
+
+    /** Runs a task; its exception ends neither the tasks behind it nor the heartbeat that may have called it. */
+    private static void run(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException exception) {
+            LOG.atError().setCause(exception).log("a task of the event queue threw an exception");
+        }
+    }
 }
--- a/src/test/java/trestleline/core/GatewayTest.java
+++ b/src/test/java/trestleline/core/GatewayTest.java
@@ -167,7 +167,7 @@
     }
 
     /** A viewer that records its answers and reports those that break a rule. */
-    private static final class RecordingViewer implements Viewer {
+    private static class RecordingViewer implements Viewer {
         final Simulation simulation;
         final double deadlineMs;
         int answerCount;
@@ -216,7 +216,16 @@
 
     private static RecordingViewer sendRequest(
             Simulation simulation, String serviceClass, long key, double patienceMs) {
-        var viewer = new RecordingViewer(simulation, simulation.nowMs + patienceMs + 40);
+        return sendRequest(
+                simulation,
+                serviceClass,
+                key,
+                patienceMs,
+                new RecordingViewer(simulation, simulation.nowMs + patienceMs + 40));
+    }
+
+    private static RecordingViewer sendRequest(
+            Simulation simulation, String serviceClass, long key, double patienceMs, RecordingViewer viewer) {
         viewer.requestId = simulation.gateway.request(
                 new Placement.SessionRequest(0, serviceClass, "", key, 5, 0, Double.NaN, 0, HOST_COUNT, 2, 0),
                 patienceMs,
@@ -329,6 +338,33 @@
         assertEquals(1, queue.stallCount());
     }
 
+    /**
+     * Guards against an exception in a deferred task that ends the heartbeat, after which all requests wait for good.
+     */
+    @Test
+    void exceptionInDeferredTaskDoesNotEndTheHeartbeat() {
+        var simulation = new Simulation(5);
+        simulation.advanceTo(simulation.nowMs + 100);
+        simulation.nowMs += 2000; // stall: the request is deferred, and answered by a heartbeat
+        var broken = new RecordingViewer(simulation, Double.POSITIVE_INFINITY) {
+            @Override
+            public void refused(double retryAfterMs) {
+                throw new IllegalStateException("viewer's fault");
+            }
+        };
+        simulation.gateway.updateHostList(new Placement.HostListUpdate("whole", List.of(), 2));
+        sendRequest(simulation, "safe", 1, 5000, broken);
+        try {
+            simulation.advanceTo(simulation.nowMs + 1000);
+        } catch (IllegalStateException e) {
+            // as an event loop does, the simulation goes on with the next task
+        }
+        var viewer = sendRequest(simulation, "safe", 2);
+        simulation.advanceTo(simulation.nowMs + 1000);
+        assertEquals("refused", viewer.lastAnswer);
+        assertEquals(0, simulation.gateway.loopLag());
+    }
+
     @Test
     void loopStallIsDeductedFromTimeToAnswer() {
         var simulation = new Simulation(3);
