Out of memory ends the platform's gateway with one line and exit code 3

The JVM prints "Terminating due to java.lang.OutOfMemoryError: Java heap space" and ends with code 3.

--- a/src/test/java/trestleline/platform/PlatformNodeIT.java
+++ b/src/test/java/trestleline/platform/PlatformNodeIT.java
@@ -47,8 +47,12 @@
     }
 
     private Process start(Path config) throws IOException {
+        return start(config, runCommand());
+    }
+
+    private Process start(Path config, String command) throws IOException {
         Path tempDir = Files.createDirectories(dir.resolve("tmp"));
-        var process = new ProcessBuilder("/bin/sh", "-c", runCommand())
+        var process = new ProcessBuilder("/bin/sh", "-c", command)
                 .redirectOutput(dir.resolve("out").toFile())
                 .redirectError(dir.resolve("err").toFile());
         process.environment().put("NODE_CONFIG", config.toString());
@@ -170,6 +174,22 @@
         }
     }
 
+    /** Guards against a process that stands without memory, instead of ending so that another one is started. */
+    @Test
+    void outOfMemoryEndsTheProcessWithOneLine() throws Exception {
+        String command = runCommand().replaceAll("-Xm([sx])\\d+m", "-Xm$14m"); // too little to start with
+        try (var fixture = new GatewayFixture()) {
+            Process process = start(write(fixture.config(SOCKETS)), command);
+            try {
+                assertTrue(process.waitFor(30, TimeUnit.SECONDS), "the process stands");
+                assertEquals(3, process.exitValue(), text("out") + text("err"));
+                assertTrue((text("out") + text("err")).contains("OutOfMemoryError"), text("out") + text("err"));
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
     /** Guards against refused set-ups that stay in memory for as long as they said they would wait. */
     @Test
     void refusedSetUpsThatStateALongWaitDoNotFillTheHeap() throws Exception {
