Of several deliveries noted for one millisecond the least counts, in any order

Cause: PlaybackRequest.delivery kept the last call for a millisecond, so that two facts of the same time gave a figure by the order in which they came; ServiceQualityTest.resultDoesNotDependOnOrderDuplicatesOrDelay was known red for it.

Change: the lowest rung counts, and of that the smallest share: no order of the facts is known, and what may not have been delivered earns nothing.

--- a/src/main/java/trestleline/quality/PlaybackRequest.java
+++ b/src/main/java/trestleline/quality/PlaybackRequest.java
@@ -1,13 +1,13 @@
 package trestleline.quality;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.TreeMap;
 
 /**
  * A viewer's request for a title, with everything known of it from the gateway and the player. Retries after a refusal
- * or an interruption belong to the first request. Facts may be added in any order and any number of times, except as
- * noted at {@link #delivery}.
+ * or an interruption belong to the first request. Facts may be added in any order and any number of times.
  *
  * <p>Memory: bounded by the segments and reports of one playback; {@link QualityWindows} drops the request once its
  * lateness has passed.
@@ -46,6 +46,9 @@
     /** The rung in force from a time on, and the share of its rate that the host reports to deliver. */
     record Delivery(int rung, double share) {}
 
+    private static final Comparator<Delivery> LEAST_FIRST =
+            Comparator.comparingInt(Delivery::rung).thenComparingDouble(Delivery::share);
+
     /** A segment that the viewer received: when, and its media time in ms. */
     record Segment(long at, long mediaMs) {}
 
@@ -99,11 +102,12 @@
     }
 
     /**
-     * Records the rung in force from a time on and the share of its rate that is delivered. Of several calls for the
-     * same millisecond, the last one counts, so for these the order of calls matters.
+     * Records the rung in force from a time on and the share of its rate that is delivered. Of several for the same
+     * millisecond the least counts, the lowest rung and of that the smallest share: no order of them is known, and what
+     * may not have been delivered earns nothing.
      */
     public void delivery(long at, int rung, double share) {
-        deliveries.put(at, new Delivery(rung, share));
+        deliveries.merge(at, new Delivery(rung, share), (a, b) -> LEAST_FIRST.compare(a, b) <= 0 ? a : b);
     }
 
     /** Records a segment that was delivered whole; {@code number} is its position in the title. */
