The test of re-packs on a full gateway counts processor time instead of wall time

Need: ScaleTest.repacksOfAFullGatewayDoNotBlockIt failed once, at 2.07 s for a bound of 2 s, with a load average of 15 to 22 on 8 cores: what is promised is the time that a re-pack takes of a core, and the test measured what others left of it as well.

Change: the same bound, 2 s for 300 re-packs, on the processor time of the thread.

--- a/src/test/java/trestleline/placement/ScaleTest.java
+++ b/src/test/java/trestleline/placement/ScaleTest.java
@@ -5,6 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -20,6 +22,9 @@
     private static final int GATEWAYS = 150;
     private static final int HOSTS = 12;
     private static final int NOTIFIED_GATEWAYS = 40;
+    /** Processor time, as other processes on the machine are not to decide. */
+    private static final Duration REPACKS_PROCESSOR_TIME = Duration.ofSeconds(2);
+
     /** As many as two viewers that ask as fast as they can bring in about a minute. */
     private static final int REFUSED_REQUESTS = 1_000_000;
 
@@ -228,9 +233,13 @@
             scenario.hostNotice(i + 1, "s" + i % HOSTS, 2, i % 3);
         }
         scenario.actions.clear();
-        assertTimeoutPreemptively(Duration.ofSeconds(2), () -> {
-            for (int i = 0; i < 300; i++) scenario.advance(4000).handle(new Placement.TimerFired("pack"));
-        });
+        ThreadMXBean threads = ManagementFactory.getThreadMXBean();
+        long startedNs = threads.getCurrentThreadCpuTime();
+        for (int i = 0; i < 300; i++) scenario.advance(4000).handle(new Placement.TimerFired("pack"));
+        long processorNs = threads.getCurrentThreadCpuTime() - startedNs;
+        assertTrue(
+                processorNs < REPACKS_PROCESSOR_TIME.toNanos(),
+                "300 re-packs took " + processorNs / 1_000_000 + " ms of processor time");
         assertTrue(
                 Scenario.actionsOfKind(scenario.actions, Placement.SetRung.class)
                                 .size()
