--- a/review/stand-ins-2/Kit.java
+++ b/review/stand-ins-2/Kit.java
@@ -196,6 +196,11 @@
 
         /** Starts a gateway and waits until it passes a test. */
         Gateway(String name, Feed feed, int sockets, int memoryMb, String settings) throws Exception {
+            this(name, feed, sockets, memoryMb, settings, "");
+        }
+
+        /** Starts a gateway in a shell that runs {@code before} first, such as {@code ulimit -n 256;}. */
+        Gateway(String name, Feed feed, int sockets, int memoryMb, String settings, String before) throws Exception {
             this.name = name;
             try (var probe = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
                 port = probe.getLocalPort();
@@ -211,7 +216,7 @@
             require(matcher.find(), "no run line in deploy/balancer.toml");
             File log = tempDir.resolve(name + ".log").toFile();
             Path temp = Files.createDirectories(tempDir.resolve(name + ".tmp"));
-            var builder = new ProcessBuilder("/bin/sh", "-c", matcher.group(1))
+            var builder = new ProcessBuilder("/bin/sh", "-c", before + matcher.group(1))
                     .redirectOutput(log)
                     .redirectErrorStream(true);
             builder.environment().put("NODE_NAME", name);
