--- a/review/stand-ins-2/Kit.java
+++ b/review/stand-ins-2/Kit.java
@@ -820,7 +820,7 @@
                     param(4, "3000"),
                     param(5, tenant),
                     param(7, title),
-                    param(8, "home:" + host.slot + ";copies:1;top:" + top + ";viewer:" + hex(id >>> 12) + ";at:" + host.name),
+                    param(8, "home:" + host.slot + ";copies:3;top:" + top + ";viewer:" + hex(id >>> 12) + ";at:" + host.name),
                     param(18, hex(id) + "\r\nc=IN IP4 127.4.7.9\r\nm=audio 31000 RTP/AVP 0 8 101\r\n")));
             return request;
         }
