Re-packs need memory for what is left to choose, not for sessions squared

Cause: repack kept a value and a choice for every amount of bandwidth from zero on, for each step of combining a host's sessions; below the sessions' smallest need there is nothing to choose, and a combination is never smaller than that need, so the arrays grew with the square of the sessions at a host. Change: RungPacking counts amounts from the smallest need on, keeps choices in two bytes each, drops values once used, combines over 64 packings by groups. Evidence: ScaleTest.repackOfHandedOverSessionsBeyondTheLinkTakesLittleMemory failed before (106,659,336 bytes allocated by one re-pack) and passes now (858,568 bytes, bound 4,000,000: a tenth of the heap).

--- a/src/main/java/trestleline/placement/PlacementPolicy.java
+++ b/src/main/java/trestleline/placement/PlacementPolicy.java
@@ -1,6 +1,5 @@
 package trestleline.placement;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
@@ -883,39 +882,6 @@
                 && now - subscribeRequestedAt > settings.rules().askEvery() / 4) subscribe();
     }
 
-    /**
-     * The best rungs of some sessions for every amount of bandwidth up to a limit: a leaf for one session, or the
-     * combination of two packings.
-     *
-     * @param value highest payoff by amount of bandwidth, in knapsack units
-     * @param choice by amount: the rung of a leaf's session, or the units that the second packing gets
-     * @param session session of a leaf, or null
-     * @param first first packing of a combination, or null
-     * @param second second packing of a combination, or null
-     */
-    private record Packing(double[] value, int[] choice, Session session, Packing first, Packing second) {
-        /**
-         * Adds the best rungs within a budget (knapsack units) to {@code plan}. It loops along the chain of first
-         * packings, as recursion over thousands of sessions overflows the stack.
-         */
-        void assign(int budget, Map<Session, Integer> plan) {
-            ArrayDeque<Runnable> pending = new ArrayDeque<>();
-            Packing packing = this;
-            int units = budget;
-            for (; packing.second != null; packing = packing.first) {
-                units = Math.min(units, packing.value.length - 1); // more gains nothing
-                int secondUnits = packing.choice[units];
-                Packing second = packing.second;
-                pending.push(() -> second.assign(secondUnits, plan));
-                units -= secondUnits;
-            }
-            if (packing.session != null) {
-                plan.put(packing.session, packing.choice[Math.min(units, packing.value.length - 1)]);
-            }
-            pending.forEach(Runnable::run);
-        }
-    }
-
     /**
      * Chooses the rungs of all playing sessions anew (FluSS's OptCycle). It solves nested knapsacks: the sessions of
      * each host within its link, the hosts of each rack within its uplink, and all racks within the fleet's budget.
@@ -924,13 +890,13 @@
         double wantedKb = 0;
         for (Session session : sessions.values()) if (session.playing) wantedKb += rateKb(session, topRung(session));
         double unitKb = Math.max(settings.ladder().ratesKb()[0] / UNITS_PER_LOWEST_RATE, wantedKb / MAX_KNAPSACK_UNITS);
-        Map<BandwidthPool, List<Packing>> packingsByRack = new LinkedHashMap<>();
+        Map<BandwidthPool, List<RungPacking>> packingsByRack = new LinkedHashMap<>();
         // Use that stays as it is: freed shares and sessions that do not play yet.
         Map<BandwidthPool, Double> fixedKbByRack = new HashMap<>();
         double fixedFleetKb = settings.ladder().ratesKb()[0];
         for (MediaHost host : hosts.values()) {
             if (host.sessions.isEmpty()) continue;
-            List<Packing> hostPackings = new ArrayList<>();
+            List<RungPacking> hostPackings = new ArrayList<>();
             double fixedKb = host.link.ownUseKb;
             for (Session session : host.sessions.values()) {
                 if (!session.playing) continue;
@@ -940,14 +906,15 @@
             fixedKbByRack.merge(rackUplink(host), fixedKb, Double::sum);
             fixedFleetKb += fixedKb;
             if (hostPackings.isEmpty()) continue;
-            Packing packed = packAll(hostPackings, (headroomKb(host.link) + host.link.ownUseKb - fixedKb) / unitKb);
+            RungPacking packed =
+                    RungPacking.packAll(hostPackings, (headroomKb(host.link) + host.link.ownUseKb - fixedKb) / unitKb);
             packingsByRack
                     .computeIfAbsent(rackUplink(host), uplink -> new ArrayList<>())
                     .add(packed);
         }
-        List<Packing> packings = new ArrayList<>();
+        List<RungPacking> packings = new ArrayList<>();
         double fleetLimit = (headroomKb(fleet) + fleet.ownUseKb - fixedFleetKb) / unitKb;
-        for (Map.Entry<BandwidthPool, List<Packing>> e : packingsByRack.entrySet()) {
+        for (Map.Entry<BandwidthPool, List<RungPacking>> e : packingsByRack.entrySet()) {
             BandwidthPool uplink = e.getKey();
             double rackLimit = (headroomKb(uplink)
                             + uplink.ownUseKb
@@ -955,13 +922,14 @@
                             - settings.ladder().ratesKb()[0])
                     / unitKb;
             // A rack whose hosts fit together needs no knapsack of its own.
-            if (totalUnits(e.getValue()) <= rackLimit) packings.addAll(e.getValue());
-            else packings.add(packAll(e.getValue(), rackLimit));
+            if (RungPacking.totalUnits(e.getValue()) <= rackLimit) packings.addAll(e.getValue());
+            else packings.add(RungPacking.packAll(e.getValue(), rackLimit));
         }
         if (packings.isEmpty()) return;
-        if (totalUnits(packings) > fleetLimit) packings = List.of(packAll(packings, fleetLimit));
+        if (RungPacking.totalUnits(packings) > fleetLimit)
+            packings = List.of(RungPacking.packAll(packings, fleetLimit));
         Map<Session, Integer> plan = new LinkedHashMap<>();
-        for (Packing packing : packings) packing.assign(packing.value.length - 1, plan);
+        for (RungPacking packing : packings) packing.assign(packing.maximum(), plan);
         // Sessions step down before others step up.
         for (boolean up : new boolean[] {false, true}) {
             plan.forEach((session, rung) -> {
@@ -971,7 +939,7 @@
     }
 
     /** The packing of one session: its best rung for each number of units. */
-    private Packing packSession(Session session, double unitKb) {
+    private RungPacking packSession(Session session, double unitKb) {
         double[] value = new double[(int) Math.round(rateKb(session, topRung(session)) / unitKb) + 1];
         int[] rungs = new int[value.length];
         double rungTimeS = meanRungTimeS();
@@ -985,68 +953,7 @@
                 rungs[units] = rung;
             }
         }
-        return new Packing(value, rungs, session, null, null);
-    }
-
-    /** The largest number of units that some packings can use together. */
-    private static double totalUnits(List<Packing> packings) {
-        double total = 0;
-        for (Packing packing : packings) total += packing.value.length - 1;
-        return total;
-    }
-
-    /**
-     * Combines packings into one, up to a limit in units but never below their smallest need. A re-pack once blocked a
-     * gateway on part of a core for 400 ms, and set-ups timed out at hosts that had answered. So each combination is
-     * restricted to what the limit leaves, to amounts that gain anything, and to parts at which the value rises.
-     */
-    private static Packing packAll(List<Packing> packings, double limit) {
-        double remainingMinimum = 0;
-        for (Packing packing : packings) remainingMinimum += minimumUnits(packing.value);
-        Packing combined = new Packing(new double[1], null, null, null, null);
-        for (Packing packing : packings) {
-            remainingMinimum -= minimumUnits(packing.value);
-            combined = combine(combined, packing, limit - remainingMinimum);
-        }
-        return combined;
-    }
-
-    /** Combines two packings, up to a limit in units but never below what both need at least. */
-    private static Packing combine(Packing first, Packing second, double limit) {
-        int minimum = minimumUnits(first.value) + minimumUnits(second.value);
-        int maximum = first.value.length + second.value.length - 2;
-        double[] value = new double[(int) Math.max(minimum, Math.min(maximum, limit)) + 1];
-        int[] secondUnits = new int[value.length];
-        Arrays.fill(value, Double.NEGATIVE_INFINITY);
-        for (int part = minimumUnits(second.value); part < second.value.length; part++) {
-            double partValue = second.value[part];
-            if (part > 0 && partValue <= second.value[part - 1]) continue;
-            int end = Math.min(value.length, first.value.length + part);
-            for (int units = minimumUnits(first.value) + part; units < end; units++) {
-                double sum = first.value[units - part] + partValue;
-                if (sum <= value[units]) continue;
-                value[units] = sum;
-                secondUnits[units] = part;
-            }
-        }
-        // An amount at which no better combination ends takes that of the next smaller amount.
-        int last = minimum;
-        for (int units = minimum + 1; units < value.length; units++) {
-            if (value[units] > value[last]) {
-                last = units;
-            } else {
-                value[units] = value[last];
-                secondUnits[units] = secondUnits[last];
-            }
-        }
-        return new Packing(Arrays.copyOf(value, last + 1), secondUnits, null, first, second);
-    }
-
-    /** The smallest number of units that has a value. */
-    private static int minimumUnits(double[] value) {
-        int units = 0;
-        while (value[units] == Double.NEGATIVE_INFINITY) units++;
-        return units;
+        return RungPacking.ofSession(session, value, rungs);
     }
 
     // Attempts and deadlines
--- a/src/test/java/trestleline/placement/ScaleTest.java
+++ b/src/test/java/trestleline/placement/ScaleTest.java
@@ -28,6 +28,10 @@
     /** As many as two viewers that ask as fast as they can bring in about a minute. */
     private static final int REFUSED_REQUESTS = 1_000_000;
 
+    private static final int HANDED_OVER_SESSIONS = 900;
+    /** A tenth of the heap that deploy/balancer.toml gives a gateway, bytes. */
+    private static final long REPACK_BYTES = 4_000_000;
+
     private static Scenario gatewayScenario(int gatewayIndex, int gateways) {
         Scenario scenario = Scenario.withDefaults();
         scenario.gateways = gateways;
@@ -209,6 +213,24 @@
                 "all sessions have the top rung already and enough bandwidth");
     }
 
+    /** Guards against a re-pack that needs memory by the square of the sessions at a host: they filled the heap. */
+    @Test
+    void repackOfHandedOverSessionsBeyondTheLinkTakesLittleMemory() {
+        Scenario scenario = Scenario.withDefaults();
+        scenario.positions = 1;
+        scenario.slotsPerHost = HANDED_OVER_SESSIONS;
+        scenario.start("a");
+        for (int i = 1; i <= HANDED_OVER_SESSIONS; i++) {
+            scenario.handle(new Placement.SessionResumed(
+                    new Placement.SessionRequest(i, "safe", "", i, i, 4000, Double.NaN, 0, 3, 0, 0), "a"));
+        }
+        var threads = (com.sun.management.ThreadMXBean) ManagementFactory.getThreadMXBean();
+        long allocatedBefore = threads.getCurrentThreadAllocatedBytes();
+        scenario.advance(4000).handle(new Placement.TimerFired("pack"));
+        long allocated = threads.getCurrentThreadAllocatedBytes() - allocatedBefore;
+        assertTrue(allocated < REPACK_BYTES, "a re-pack allocated " + allocated + " bytes");
+    }
+
     /**
      * On part of a core, each re-pack of a full gateway took 400 ms every few seconds, and set-ups timed out at hosts
      * that had answered. Here 300 re-packs in a row on hosts too small for their sessions take 0.4 s of a whole core;
