Viewers' bytes are bounded before they are kept, and connections take turns

Cause: every readable socket was read in one pass, up to 1 MiB, and decoded before a limit was looked at; a queued message counted 600 bytes whatever it took; each connection took its turns by a timer of its own, without a bound on the work of all, so that the loop was late and the core put requests off. Change: sockets are read in 4 KiB chunks and not past an unprocessed message; only valid set-ups are kept, counted over all connections until answered; connections take turns of bounded length. A set-up is begun once its connection was read to its end, so that give-ups and closes behind it are still seen.

--- a/src/main/java/trestleline/signaling/SignalingServer.java
+++ b/src/main/java/trestleline/signaling/SignalingServer.java
@@ -30,8 +30,8 @@
 /**
  * TCP server for the platform's viewers. It translates between the binary protocol and the core and makes no placement
  * decisions; it rejects on its own only what cannot be decoded or exceeds this process's limits. Memory is bounded by
- * the connection limit, the live requests and sessions, and a bounded queue of messages for viewers that have no
- * connection at the moment. Not thread-safe: all calls must come from one event loop.
+ * the connection limit, {@link SetUpMemory}, the playing sessions, and a bounded queue of messages for viewers that
+ * have no connection at the moment. Not thread-safe: all calls must come from one event loop.
  */
 public final class SignalingServer {
     private static final Logger LOG = LoggerFactory.getLogger(SignalingServer.class);
@@ -42,16 +42,15 @@
     private static final double SILENCE_TIMEOUT_MS = 2000;
 
     private static final int SWEEP_INTERVAL_MS = 250;
-    /** Messages of one connection that are processed per turn, so that no connection starves the others. */
-    private static final int MESSAGES_PER_TURN = 16;
+    /** Set-ups of one connection that are passed to the core per turn. */
+    private static final int SET_UPS_PER_TURN = 16;
+    /** Unprocessed bytes of one connection from which on nothing more is read from it: a whole message. */
+    private static final int MAX_UNPROCESSED_BYTES = Message.MAX_LENGTH + 2;
     /**
-     * Estimated size of the messages queued on one connection beyond which reading from it is paused. Up to the limit
-     * reading goes on, because a release or a close behind queued set-ups would otherwise stay unnoticed in the socket
-     * while those set-ups are sent to hosts.
+     * How long (ms) the set-ups of a connection that is always readable are held back at most. They wait until it was
+     * read to its end, because a release or the close of the connection may lie behind them.
      */
-    private static final int MAX_BACKLOG_BYTES = 1 << 17;
-    /** The same limit for all connections together. */
-    private static final int MAX_TOTAL_BACKLOG_BYTES = 1 << 21;
+    private static final double MAX_HOLD_BACK_MS = 250;
     /** Unanswered set-ups allowed per connection. */
     private static final int MAX_PENDING_PER_CONNECTION = 256;
     /** Messages kept for viewers that have no connection; the oldest are dropped beyond this. */
@@ -86,8 +85,9 @@
 
     private NetServer server;
     private int pendingSetUps;
-    /** Estimated memory of the messages queued on all connections. */
-    private long totalBacklogBytes;
+    private final SetUpMemory setUpMemory = new SetUpMemory();
+    private final ReadyConnections<Connection> readyConnections;
+    private boolean passScheduled;
 
     private boolean draining;
     private long rejectedConnections;
@@ -124,6 +124,7 @@
         this.maxPendingSetUps = maxPendingSetUps;
         this.clock = clock;
         setUpReader = new SetUpReader(settings);
+        readyConnections = new ReadyConnections<>(clock, this::processTurn);
     }
 
     /** Starts listening; completes with the actual port, or fails if the address cannot be bound. */
@@ -178,7 +179,9 @@
     private final class Connection {
         final NetSocket socket;
         final MessageReader messageReader = new MessageReader();
-        final Backlog backlog = new Backlog();
+        final ReadControl readControl;
+        final SetUpQueue setUpQueue = new SetUpQueue();
+        final SetUpMemory.Account setUpMemoryAccount = new SetUpMemory.Account();
         /** Ids of the set-ups of this connection that are unanswered. */
         final Set<Long> pendingIds = new HashSet<>();
         /** Playing sessions whose set-up came on this connection. */
@@ -189,11 +192,17 @@
         double incompleteSince = Double.POSITIVE_INFINITY;
 
         boolean closed;
-        boolean turnScheduled;
-        boolean paused;
+        /** Whether more may lie in the socket: the last chunk was full, or reading was paused. */
+        boolean moreExpected;
 
         Connection(NetSocket socket) {
             this.socket = socket;
+            readControl = new ReadControl(socket);
+        }
+
+        /** Whether something was received that has not been processed or passed to the core yet. */
+        boolean hasUnprocessed() {
+            return !setUpQueue.isEmpty() || readyConnections.contains(this);
         }
 
         void send(byte[] bytes) {
@@ -227,11 +236,7 @@
         socket.exceptionHandler(
                 error -> LOG.atDebug().addKeyValue("cause", error.getMessage()).log("viewer connection failed"));
         socket.closeHandler(v -> onClosed(connection));
-        socket.handler(buffer -> {
-            connection.messageReader.append(buffer.getBytes());
-            enqueueMessages(connection);
-            scheduleTurn(connection, true);
-        });
+        socket.handler(buffer -> onBytes(connection, buffer.getBytes()));
     }
 
     /**
@@ -244,7 +249,7 @@
             if (!connection.pendingIds.isEmpty()
                     || connection.playingSessions > 0
                     || connection.closed
-                    || connection.backlog.bytes() > 0) continue;
+                    || connection.hasUnprocessed()) continue;
             if (idlest == null || connection.lastActiveAt < idlest.lastActiveAt) idlest = connection;
         }
         if (idlest == null) return false;
@@ -258,9 +263,8 @@
     private void sweep() {
         double now = clock.getAsDouble();
         for (Connection connection : new ArrayList<>(connections)) {
-            boolean idle = connection.pendingIds.isEmpty()
-                    && connection.playingSessions == 0
-                    && connection.backlog.bytes() == 0;
+            boolean idle =
+                    connection.pendingIds.isEmpty() && connection.playingSessions == 0 && !connection.hasUnprocessed();
             // abort() answers the pending requests before it closes the connection
             if (now - connection.incompleteSince > SILENCE_TIMEOUT_MS) abort(connection);
             else if (idle && now - connection.lastActiveAt > SILENCE_TIMEOUT_MS) connection.close();
@@ -273,7 +277,8 @@
         if (connection.closed) return;
         connection.closed = true;
         connections.remove(connection);
-        handleQueuedAfterClose(connection);
+        discardQueuedSetUps(connection);
+        handleUnprocessedAfterClose(connection);
         LOG.atDebug()
                 .addKeyValue("open", connection.pendingIds.size())
                 .addKeyValue("standing", connection.playingSessions)
@@ -283,25 +288,31 @@
         for (Long id : new ArrayList<>(connection.pendingIds)) cancel(activeRequests.get(id));
     }
 
+    private void discardQueuedSetUps(Connection connection) {
+        for (SetUpQueue.QueuedSetUp queued = connection.setUpQueue.poll();
+                queued != null;
+                queued = connection.setUpQueue.poll())
+            setUpMemory.release(connection.setUpMemoryAccount, queued.bytes());
+    }
+
     /**
-     * Handles the messages that were still queued when the connection closed. New set-ups are dropped, as nobody waits
+     * Handles the messages that were not processed when the connection closed. New set-ups are dropped, as nobody waits
      * for their answer. Releases and takeovers are processed, because playing sessions do not belong to a connection.
      */
-    private void handleQueuedAfterClose(Connection connection) {
-        for (Backlog.QueuedMessage queued = connection.backlog.next();
-                queued != null;
-                queued = connection.backlog.next()) {
-            totalBacklogBytes -= queued.bytes();
-            Message message = queued.message();
-            if (message.type() == Message.TYPE_RELEASE
-                    || message.type() == Message.TYPE_SET_UP && SetUpReader.isTakeover(message))
-                handle(connection, message);
+    private void handleUnprocessedAfterClose(Connection connection) {
+        for (Message message = connection.messageReader.next();
+                message != null;
+                message = connection.messageReader.next()) {
+            if (message.type() == Message.TYPE_RELEASE) handleRelease(connection, message);
+            else if (message.type() == Message.TYPE_SET_UP && SetUpReader.isTakeover(message))
+                handleSetUp(connection, message);
         }
     }
 
     /**
      * Ends a connection whose input can no longer be interpreted, or whose peer does not read. Each pending request is
-     * answered with a failure and cancelled; the connection closes once the answers are written.
+     * answered with a failure and cancelled, each queued one refused; the connection closes once the answers are
+     * written.
      */
     private void abort(Connection connection) {
         if (connection.closed) return;
@@ -310,75 +321,97 @@
             // an orderly close would wait for the peer to read
             ((NetSocketInternal) connection.socket).channelHandlerContext().close();
         } else {
-            for (Long id : connection.pendingIds) connection.socket.write(Buffer.buffer(failureMessage(id)));
+            for (Long id : connection.pendingIds) connection.socket.write(Buffer.buffer(OutgoingMessages.failure(id)));
+            for (SetUpQueue.QueuedSetUp queued : connection.setUpQueue.all())
+                connection.socket.write(Buffer.buffer(OutgoingMessages.refusal(queued.id(), 0)));
             connection.socket.end();
         }
         onClosed(connection);
     }
 
-    /** Decodes the received bytes into queued messages; a release cancels a set-up that is queued before it. */
-    private void enqueueMessages(Connection connection) {
+    // Reading and turns
+
+    private void onBytes(Connection connection, byte[] bytes) {
         if (connection.closed) return;
-        for (Message message = connection.messageReader.next();
-                message != null;
-                message = connection.messageReader.next()) {
-            totalBacklogBytes += connection.backlog.add(message);
+        connection.messageReader.append(bytes);
+        connection.moreExpected = bytes.length >= ReadControl.CHUNK_BYTES;
+        if (connection.messageReader.bufferedBytes() >= MAX_UNPROCESSED_BYTES) connection.readControl.pause();
+        readyConnections.add(connection);
+        if (passScheduled) return;
+        passScheduled = true;
+        // after everything that is readable in this pass of the event loop was read
+        vertx.runOnContext(v -> runPass());
+    }
+
+    /**
+     * Gives each connection with unprocessed input a turn. Further passes use a timer, so that the sockets are read in
+     * between: the event loop runs dozens of consecutive tasks before it polls its sockets again.
+     */
+    private void runPass() {
+        passScheduled = false;
+        readyConnections.runPass();
+        if (readyConnections.isEmpty() || passScheduled) return;
+        passScheduled = true;
+        vertx.setTimer(1, timer -> runPass());
+    }
+
+    /**
+     * Processes some of what a connection has sent; returns whether it needs another turn. Set-ups are queued, and
+     * passed to the core only once the connection was read to its end: a release or a close behind them would otherwise
+     * stay unnoticed while they are sent to hosts.
+     */
+    private boolean processTurn(Connection connection, int messages) {
+        if (connection.closed) return false;
+        if (!processMessages(connection, messages)) return !connection.closed;
+        if (connection.messageReader.failed()) {
+            abort(connection);
+            return false;
+        }
+        updateIncompleteSince(connection);
+        if (connection.readControl.isPaused()) {
+            connection.readControl.resume();
+            connection.moreExpected = true;
+        }
+        SetUpQueue.QueuedSetUp oldest = connection.setUpQueue.peek();
+        if (connection.moreExpected) {
+            connection.moreExpected = false; // what lies in the socket is read before the next turn
+            if (oldest == null) return false;
+            if (clock.getAsDouble() - oldest.queuedAt() < MAX_HOLD_BACK_MS) return true;
+        }
+        for (int i = 0; i < SET_UPS_PER_TURN && !connection.closed && !connection.setUpQueue.isEmpty(); i++)
+            passToCore(connection, connection.setUpQueue.poll());
+        return !connection.closed && !connection.setUpQueue.isEmpty();
+    }
+
+    /** Decodes and handles up to a number of messages; returns whether no complete one is left. */
+    private boolean processMessages(Connection connection, int count) {
+        for (int i = 0; i < count; i++) {
+            Message message = connection.messageReader.next();
+            if (message == null) return true;
             connection.incompleteSince = Double.POSITIVE_INFINITY;
+            traceMessage(message);
+            handle(connection, message);
+            if (connection.closed) return false;
         }
-        // Measured from the first byte of the message: a connection that was idle before may be read in mid-message.
+        return false;
+    }
+
+    /** Notes since when a message is incomplete: from its first byte on, not from the last complete message. */
+    private void updateIncompleteSince(Connection connection) {
         if (connection.messageReader.bufferedBytes() == 0) connection.incompleteSince = Double.POSITIVE_INFINITY;
         else if (connection.incompleteSince == Double.POSITIVE_INFINITY)
             connection.incompleteSince = clock.getAsDouble();
     }
 
-    /**
-     * Schedules the next turn of a connection, unless one is scheduled. The first turn runs after everything read in
-     * the same pass is decoded. Further turns use a timer, so that the sockets are read in between: the event loop runs
-     * dozens of consecutive tasks before it polls its sockets again.
-     */
-    private void scheduleTurn(Connection connection, boolean first) {
-        if (connection.turnScheduled || connection.closed) return;
-        connection.turnScheduled = true;
-        Runnable turn = () -> {
-            connection.turnScheduled = false;
-            processTurn(connection);
-            if (connection.paused && !connection.closed && connection.backlog.bytes() <= MAX_BACKLOG_BYTES / 2) {
-                connection.paused = false;
-                connection.socket.resume();
-            }
-        };
-        if (first) vertx.runOnContext(v -> turn.run());
-        else vertx.setTimer(1, timer -> turn.run());
-    }
-
-    /** Processes up to {@link #MESSAGES_PER_TURN} queued messages, then yields to the other connections. */
-    private void processTurn(Connection connection) {
-        for (int i = 0; i < MESSAGES_PER_TURN && !connection.closed; i++) {
-            Backlog.QueuedMessage queued = connection.backlog.next();
-            if (queued == null) {
-                if (connection.messageReader.failed()) abort(connection);
-                return;
-            }
-            totalBacklogBytes -= queued.bytes();
-            Message message = queued.message();
-            if (LOG.isTraceEnabled()) {
-                LOG.atTrace()
-                        .addKeyValue("type", message.type())
-                        .addKeyValue("session", NumberCodec.formatHexId(message.session()))
-                        .addKeyValue("figures", message.textParameter(Message.PARAM_FIGURES))
-                        .addKeyValue("description", message.textParameter(Message.PARAM_DESCRIPTION))
-                        .addKeyValue("waits", message.textParameter(Message.PARAM_DEADLINE))
-                        .log("message from viewer");
-            }
-            handle(connection, message);
-        }
-        if (connection.closed) return;
-        if (!connection.paused
-                && (connection.backlog.bytes() > MAX_BACKLOG_BYTES || totalBacklogBytes > MAX_TOTAL_BACKLOG_BYTES)) {
-            connection.paused = true;
-            connection.socket.pause();
-        }
-        scheduleTurn(connection, false);
+    private static void traceMessage(Message message) {
+        if (!LOG.isTraceEnabled()) return;
+        LOG.atTrace()
+                .addKeyValue("type", message.type())
+                .addKeyValue("session", NumberCodec.formatHexId(message.session()))
+                .addKeyValue("figures", message.textParameter(Message.PARAM_FIGURES))
+                .addKeyValue("description", message.textParameter(Message.PARAM_DESCRIPTION))
+                .addKeyValue("waits", message.textParameter(Message.PARAM_DEADLINE))
+                .log("message from viewer");
     }
 
     // Messages from viewers
@@ -389,80 +422,109 @@
             case Message.TYPE_RELEASE -> handleRelease(connection, message);
             case Message.TYPE_TEST -> {
                 connection.lastActiveAt = clock.getAsDouble();
-                connection.send(new Message.Builder(Message.TYPE_TEST_REPLY, message.session())
-                        .cause(draining ? 0 : 1)
-                        .build());
+                connection.send(OutgoingMessages.testReply(message.session(), !draining));
             }
             case Message.TYPE_PROGRESS, Message.TYPE_RELEASED, Message.TYPE_NOTE, Message.TYPE_TEST_REPLY -> {}
             default -> abort(connection);
         }
     }
 
+    /** Checks a set-up and queues it, or takes over the session that it hands over. */
     private void handleSetUp(Connection connection, Message message) {
+        long id = message.session();
         SetUpReader.SetUp setUp;
         try {
             setUp = setUpReader.read(message);
         } catch (SetUpReader.InvalidSetUpException e) {
             invalidSetUps++;
             LOG.atDebug()
-                    .addKeyValue("session", NumberCodec.formatHexId(message.session()))
+                    .addKeyValue("session", NumberCodec.formatHexId(id))
                     .addKeyValue("field", e.getMessage())
                     .log("unusable");
-            ActiveRequest existing = activeRequests.get(message.session());
             // a refusal would be taken for the one answer to the first request with this id
-            if (existing != null) abort(connection);
-            else connection.send(refusalMessage(message.session(), 0));
+            if (activeRequests.containsKey(id) || connection.setUpQueue.contains(id)) abort(connection);
+            else connection.send(OutgoingMessages.refusal(id, 0));
             return;
         }
         if (setUp.currentHost() != null) {
-            takeOver(connection, message.session(), setUp);
+            takeOver(connection, id, setUp);
             return;
         }
-        if (consumeEarlyRelease(connection, message.session())) return; // the viewer has left and expects no answer
-        if (activeRequests.containsKey(message.session())) { // the viewer could not tell the two answers apart
+        if (connection.setUpQueue.contains(id)) { // the viewer could not tell the two answers apart
             abort(connection);
             return;
         }
-        if (draining
+        int bytes = SetUpMemory.bytesOf(setUp);
+        if (!setUpMemory.tryReserve(connection.setUpMemoryAccount, bytes)) {
+            refuseForNow(connection, id);
+            return;
+        }
+        connection.setUpQueue.add(new SetUpQueue.QueuedSetUp(id, setUp, bytes, clock.getAsDouble()));
+    }
+
+    private void refuseForNow(Connection connection, long id) {
+        connection.send(OutgoingMessages.refusal(
+                id, settings.rules().retryAfter() ? settings.rules().maxRetryAfter() : 0));
+    }
+
+    /** Passes a set-up from the queue to the core, unless its viewer has left or a limit is reached. */
+    private void passToCore(Connection connection, SetUpQueue.QueuedSetUp queued) {
+        long id = queued.id();
+        boolean hasLeft = consumeEarlyRelease(connection, id); // then no answer is expected
+        boolean isOpen = !hasLeft && activeRequests.containsKey(id); // the viewer could not tell the two answers apart
+        boolean isOverLimit = draining
                 || connection.pendingIds.size() >= MAX_PENDING_PER_CONNECTION
-                || pendingSetUps >= maxPendingSetUps) {
-            connection.send(refusalMessage(
-                    message.session(),
-                    settings.rules().retryAfter() ? settings.rules().maxRetryAfter() : 0));
+                || pendingSetUps >= maxPendingSetUps;
+        if (!hasLeft && !isOpen && !isOverLimit) {
+            request(connection, queued);
             return;
         }
+        setUpMemory.release(connection.setUpMemoryAccount, queued.bytes());
+        if (hasLeft) return;
+        if (isOpen) abort(connection);
+        else refuseForNow(connection, id);
+    }
+
+    private void request(Connection connection, SetUpQueue.QueuedSetUp queued) {
+        long id = queued.id();
         connection.lastActiveAt = clock.getAsDouble();
         sendUndelivered(connection);
-        Placement.SessionRequest sessionRequest = setUp.request();
-        if (movedViewers.remove(sessionRequest.key())) {
-            sessionRequest = new Placement.SessionRequest(
-                    0,
-                    sessionRequest.service(),
-                    sessionRequest.tenant(),
-                    sessionRequest.key(),
-                    sessionRequest.title(),
-                    0,
-                    sessionRequest.hint(),
-                    sessionRequest.home(),
-                    sessionRequest.holders(),
-                    sessionRequest.top(),
-                    sessionRequest.marks() | MARK_MOVED | SetUpReader.MARK_REPEATED);
-        }
-        var request = new ActiveRequest(message.session(), connection);
-        activeRequests.put(request.id, request);
-        connection.pendingIds.add(request.id);
+        Placement.SessionRequest sessionRequest = markIfMoved(queued.setUp().request());
+        var request = new ActiveRequest(id, connection, queued.bytes());
+        activeRequests.put(id, request);
+        connection.pendingIds.add(id);
         pendingSetUps++;
-        long requestId = gateway.request(sessionRequest, setUp.timeoutMs(), setUp.payload(), request);
+        double queuedMs = clock.getAsDouble() - queued.queuedAt();
+        double timeoutMs = Math.max(1, queued.setUp().timeoutMs() - queuedMs);
+        long requestId =
+                gateway.request(sessionRequest, timeoutMs, queued.setUp().payload(), request);
         request.requestId = requestId;
         // Other answers sent within that call may have aborted the connection, and with it this request, before it had
         // its request id.
-        if (activeRequests.get(request.id) != request) gateway.cancelRequest(requestId);
+        if (activeRequests.get(id) != request) gateway.cancelRequest(requestId);
+    }
+
+    /** Marks the first request of a viewer whose session was moved. */
+    private Placement.SessionRequest markIfMoved(Placement.SessionRequest request) {
+        if (!movedViewers.remove(request.key())) return request;
+        return new Placement.SessionRequest(
+                0,
+                request.service(),
+                request.tenant(),
+                request.key(),
+                request.title(),
+                0,
+                request.hint(),
+                request.home(),
+                request.holders(),
+                request.top(),
+                request.marks() | MARK_MOVED | SetUpReader.MARK_REPEATED);
     }
 
     private void takeOver(Connection connection, long id, SetUpReader.SetUp setUp) {
         if (activeRequests.containsKey(id)) return;
         connection.lastActiveAt = clock.getAsDouble();
-        var request = new ActiveRequest(id, connection);
+        var request = new ActiveRequest(id, connection, 0);
         activeRequests.put(id, request);
         connection.playingSessions++;
         request.session = gateway.resumeSession(
@@ -478,6 +540,12 @@
 
     /** Cancels a pending set-up or ends a playing session for its viewer. The release may come on any connection. */
     private void handleRelease(Connection connection, Message message) {
+        SetUpQueue.QueuedSetUp queued = connection.setUpQueue.remove(message.session());
+        if (queued != null) {
+            connection.lastActiveAt = clock.getAsDouble();
+            setUpMemory.release(connection.setUpMemoryAccount, queued.bytes());
+            return;
+        }
         ActiveRequest request = activeRequests.get(message.session());
         if (request == null) {
             // connections are read in any order: the set-up may still be unread on another one
@@ -516,21 +584,6 @@
         gateway.cancelRequest(request.requestId);
     }
 
-    private static byte[] failureMessage(long id) {
-        return new Message.Builder(Message.TYPE_RELEASE, id)
-                .cause(Message.CAUSE_FAILED)
-                .build();
-    }
-
-    /** A refusal that advises when to retry, unless {@code retryAfterMs} is 0. */
-    private static byte[] refusalMessage(long id, double retryAfterMs) {
-        var refusal = new Message.Builder(Message.TYPE_RELEASE, id).cause(Message.CAUSE_REFUSED);
-        long ms = (long) Math.ceil(retryAfterMs);
-        if (ms > 0)
-            refusal.parameter(Message.PARAM_RETRY_AFTER, Long.toString(ms).getBytes(StandardCharsets.US_ASCII));
-        return refusal.build();
-    }
-
     // Requests and sessions
 
     /** One request, from its arrival until it is refused, failed or cancelled or its session ends. */
@@ -539,14 +592,17 @@
         final long id;
 
         final Connection connection;
+        /** Memory reserved until the request is answered. */
+        final int reservedBytes;
         /** The gateway's id for the request. */
         long requestId;
         /** Null until the session plays. */
         Session session;
 
-        ActiveRequest(long id, Connection connection) {
+        ActiveRequest(long id, Connection connection, int reservedBytes) {
             this.id = id;
             this.connection = connection;
+            this.reservedBytes = reservedBytes;
         }
 
         void remove() {
@@ -558,6 +614,7 @@
         private void removePending() {
             pendingSetUps--;
             connection.pendingIds.remove(id);
+            setUpMemory.release(connection.setUpMemoryAccount, reservedBytes);
         }
 
         @Override
@@ -565,21 +622,19 @@
             removePending();
             connection.playingSessions++;
             this.session = session;
-            connection.send(new Message.Builder(Message.TYPE_ANSWER, id)
-                    .parameter(Message.PARAM_DESCRIPTION, session.hostDescription())
-                    .build());
+            connection.send(OutgoingMessages.answer(id, session.hostDescription()));
         }
 
         @Override
         public void refused(double comeBackMs) {
             remove();
-            connection.send(refusalMessage(id, comeBackMs));
+            connection.send(OutgoingMessages.refusal(id, comeBackMs));
         }
 
         @Override
         public void failed() {
             remove();
-            connection.send(failureMessage(id));
+            connection.send(OutgoingMessages.failure(id));
         }
 
         @Override
@@ -590,14 +645,10 @@
                 movedViewers.add(session.request().key());
                 if (movedViewers.size() > MAX_MOVED_VIEWERS)
                     movedViewers.remove(movedViewers.iterator().next());
-                sendOrKeep(connection, new Message.Builder(Message.TYPE_MOVE, id).build());
+                sendOrKeep(connection, OutgoingMessages.move(id));
             } else if (why != EndReason.VIEWER_GONE) {
                 int cause = why == EndReason.PLAYED_OUT ? Message.CAUSE_NORMAL : Message.CAUSE_INTERRUPTED;
-                sendOrKeep(
-                        connection,
-                        new Message.Builder(Message.TYPE_RELEASE, id)
-                                .cause(cause)
-                                .build());
+                sendOrKeep(connection, OutgoingMessages.release(id, cause));
             }
         }
     }
@@ -633,7 +684,10 @@
     /** Closes all connections once their pending writes are flushed, and then stops listening. */
     public Future<Void> stop() {
         List<Future<Void>> closings = new ArrayList<>();
-        for (Connection connection : connections) closings.add(connection.socket.end());
+        for (Connection connection : connections) {
+            for (SetUpQueue.QueuedSetUp queued : connection.setUpQueue.all()) refuseForNow(connection, queued.id());
+            closings.add(connection.socket.end());
+        }
         return Future.join(closings)
                 .mapEmpty()
                 .eventually(() -> server == null ? Future.succeededFuture() : server.close())
--- a/src/test/java/trestleline/platform/PlatformNodeIT.java
+++ b/src/test/java/trestleline/platform/PlatformNodeIT.java
@@ -6,7 +6,6 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.File;
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -39,26 +38,12 @@
     @TempDir
     private Path dir;
 
-    private static String runCommand() throws IOException {
-        Matcher matcher =
-                Pattern.compile("(?m)^run = \"(.*?)\"").matcher(Files.readString(Path.of("deploy/balancer.toml")));
-        assertTrue(matcher.find(), "no run line in deploy/balancer.toml");
-        return matcher.group(1);
-    }
-
     private Process start(Path config) throws IOException {
-        return start(config, runCommand());
+        return start(config, GatewayProcess.runCommand());
     }
 
     private Process start(Path config, String command) throws IOException {
-        Path tempDir = Files.createDirectories(dir.resolve("tmp"));
-        var process = new ProcessBuilder("/bin/sh", "-c", command)
-                .redirectOutput(dir.resolve("out").toFile())
-                .redirectError(dir.resolve("err").toFile());
-        process.environment().put("NODE_CONFIG", config.toString());
-        process.environment().put("TMPDIR", tempDir.toString());
-        process.environment().remove("TRESTLELINE_LOG");
-        return process.start();
+        return GatewayProcess.start(dir, config, command);
     }
 
     private static void signal(Process process, String name) throws Exception {
@@ -81,12 +66,6 @@
         return Files.writeString(dir.resolve("config.json"), config.toString());
     }
 
-    private static int freePort() throws IOException {
-        try (var server = new ServerSocket(0)) {
-            return server.getLocalPort();
-        }
-    }
-
     @Test
     void invalidConfigExitsWithTwoAndNamesTheField() throws Exception {
         try (var fixture = new GatewayFixture()) {
@@ -177,7 +156,8 @@
     /** Guards against a process that stands without memory, instead of ending so that another one is started. */
     @Test
     void outOfMemoryEndsTheProcessWithOneLine() throws Exception {
-        String command = runCommand().replaceAll("-Xm([sx])\\d+m", "-Xm$14m"); // too little to start with
+        String command =
+                GatewayProcess.runCommand().replaceAll("-Xm([sx])\\d+m", "-Xm$14m"); // too little to start with
         try (var fixture = new GatewayFixture()) {
             Process process = start(write(fixture.config(SOCKETS)), command);
             try {
@@ -199,7 +179,7 @@
         try (var fixture = new GatewayFixture()) {
             fixture.initialEvents.add(GatewayFixture.feedEvent(1, true)); // without hosts every set-up is refused
             fixture.feed.sentEvents().add(fixture.initialEvents.get(0));
-            int port = freePort();
+            int port = GatewayProcess.freePort();
             Process process = start(write(fixture.config(SOCKETS).put("listen", "127.0.0.1:" + port)));
             try {
                 GatewayFixture.waitUntil(
@@ -251,7 +231,7 @@
             });
             fixture.initialEvents.add(GatewayFixture.feedEvent(1, true, GatewayFixture.hostEntry("h0", 0, host, "up")));
             fixture.feed.sentEvents().add(fixture.initialEvents.get(0));
-            int port = freePort();
+            int port = GatewayProcess.freePort();
             Process process = start(write(fixture.config(SOCKETS).put("listen", "127.0.0.1:" + port)));
             try {
                 GatewayFixture.waitUntil(
@@ -286,7 +266,7 @@
             fixture.initialEvents.add(GatewayFixture.feedEvent(1, true, GatewayFixture.hostEntry("h0", 0, host, "up")));
             fixture.feed.sentEvents().add(fixture.initialEvents.get(0));
             ObjectNode config = fixture.config(SOCKETS);
-            int port = freePort();
+            int port = GatewayProcess.freePort();
             config.put("listen", "127.0.0.1:" + port);
             Path file = write(config);
             Process process = start(file);
--- a/src/test/java/trestleline/platform/RaceConditionsTest.java
+++ b/src/test/java/trestleline/platform/RaceConditionsTest.java
@@ -225,7 +225,8 @@
     }
 
     /**
-     * Beyond the backlog limit reading is paused and resumed; every set-up of a flood still gets exactly one answer.
+     * Beyond what is kept, set-ups are refused, and reading is paused and resumed; every set-up of a flood still gets
+     * exactly one answer.
      */
     @Test
     void floodBeyondTheBacklogLimitIsFullyAnswered() throws Exception {
