An answer is passed on once nothing shows that its length was wrong

Cause: RtspHostClient handed on a message as soon as its length was reached and looked for noise behind it among the bytes of the same read alone; the first read of a connection ends after 2 KiB, and the rest of a body without a line end looked like the beginning of another message. Change: InboundMessages holds a message with a description back until a valid start line, the end of the connection or 2 ms without more follows; RtspReader rejects at once what can't become a start line. Also for a teardown that carries the answer. sequence numbers moved to RtspMessage.

--- a/src/main/java/trestleline/codec/ReadBuffer.java
+++ b/src/main/java/trestleline/codec/ReadBuffer.java
@@ -48,11 +48,16 @@
 
     /** Consumes the next {@code count} bytes and returns them as ISO 8859-1 text. */
     public String readText(int count) {
-        String text = new String(buffer, start, count, StandardCharsets.ISO_8859_1);
+        String text = peekText(count);
         skip(count);
         return text;
     }
 
+    /** Returns the next {@code count} bytes as ISO 8859-1 text without consuming them. */
+    public String peekText(int count) {
+        return new String(buffer, start, count, StandardCharsets.ISO_8859_1);
+    }
+
     /** Consumes the next {@code count} bytes. */
     public void skip(int count) {
         start += count;
--- a/src/main/java/trestleline/rtsp/RtspHostClient.java
+++ b/src/main/java/trestleline/rtsp/RtspHostClient.java
@@ -10,7 +10,6 @@
 import java.net.ConnectException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -40,11 +39,12 @@
 public final class RtspHostClient implements MediaHosts {
     private static final Logger LOG = LoggerFactory.getLogger(RtspHostClient.class);
     private static final byte[] EMPTY_BODY = new byte[0];
-    /** Sequence numbers are fixed for each kind of request, so that an answer's number tells what it answers. */
-    private static final int CSEQ_SETUP = 1;
+    /**
+     * Time (ms) for which the sockets are read on before an answer that nothing has followed counts as whole: the rest
+     * of a body with a wrong length is on its way behind it.
+     */
+    private static final int ANSWER_SETTLE_MS = 2;
 
-    private static final int CSEQ_TEARDOWN = 2;
-    private static final int CSEQ_OPTIONS = 3;
     /** Time (ms) after which the next sweep retires a connection on which a teardown is still unconfirmed. */
     private static final int TEARDOWN_TIMEOUT_MS = 1500;
 
@@ -203,7 +203,7 @@
     private final class Connection {
         final Endpoint endpoint;
         final NetSocket socket;
-        final RtspReader reader = new RtspReader();
+        final InboundMessages inbound = new InboundMessages();
         /** Set-ups that wait for their answer, by session id. */
         final Map<String, SetUp> pendingSetUps = new HashMap<>();
         /** When sessions were torn down here (Unix ms), by id, oldest first; the host has not confirmed it yet. */
@@ -343,7 +343,10 @@
                     .addKeyValue("host", endpoint.name)
                     .addKeyValue("cause", e.getMessage())
                     .log("connection to a host broke"));
-            connection.socket.closeHandler(v -> closed(connection));
+            connection.socket.closeHandler(v -> {
+                processLast(connection);
+                closed(connection);
+            });
             connection.socket.handler(b -> onBytes(connection, b.getBytes()));
             callback.accept(connection);
             notifyWaiters(endpoint, connection);
@@ -455,7 +458,7 @@
         double now = clock.getAsDouble();
         for (Connection connection : endpoint.connections) {
             if (!connection.isIdle()
-                    || connection.reader.hasPartialMessage()
+                    || connection.inbound.hasPartialMessage()
                     || now - connection.lastUsedAt > REUSABLE_IDLE_FRACTION * hostIdleTimeoutMs) continue;
             if (best == null || connection.lastUsedAt > best.lastUsedAt) best = connection;
         }
@@ -475,22 +478,26 @@
         if (connection.closed) return;
         connection.endpoint.liveness.heard(clock.getAsDouble());
         traceBytes("from", connection.endpoint, bytes);
-        connection.reader.add(bytes);
-        List<RtspMessage> messages = new ArrayList<>();
-        for (RtspMessage message = connection.reader.next(); message != null; message = connection.reader.next())
-            messages.add(message);
-        String failure = connection.reader.failure();
-        if (failure != null) {
-            protocolErrors++;
-            LOG.atDebug()
-                    .addKeyValue("host", connection.endpoint.name)
-                    .addKeyValue("why", failure)
-                    .log("protocol error on a host connection");
-            // a response with a wrong length looks complete, and the rest of its body like noise right after it
-            messages.removeIf(message -> message.method() == null && message.status() == 200);
-        }
-        for (RtspMessage message : messages) onMessage(connection, message);
-        if (failure == null || connection.closed) return;
+        connection.inbound.add(bytes);
+        for (RtspMessage message : connection.inbound.take()) onMessage(connection, message);
+        if (connection.closed) return;
+        if (connection.inbound.failure() != null) onProtocolError(connection, connection.inbound.failure());
+        else if (connection.inbound.isWaitingForMore())
+            vertx.setTimer(ANSWER_SETTLE_MS, timer -> processLast(connection));
+    }
+
+    /** Processes the message that nothing has followed, if there is one. */
+    private void processLast(Connection connection) {
+        RtspMessage last = connection.inbound.takeLast();
+        if (last != null) onMessage(connection, last);
+    }
+
+    private void onProtocolError(Connection connection, String failure) {
+        protocolErrors++;
+        LOG.atDebug()
+                .addKeyValue("host", connection.endpoint.name)
+                .addKeyValue("why", failure)
+                .log("protocol error on a host connection");
         for (SetUp setUp : List.copyOf(connection.pendingSetUps.values()))
             setUp.onConnectionEvent(Exchange.Event.ANSWERED_OTHERWISE);
         connection.close();
@@ -505,14 +512,14 @@
     private void onResponse(Connection connection, RtspMessage response) {
         String sessionId = response.sessionId();
         switch (response.cseq()) {
-            case CSEQ_SETUP -> {
+            case RtspMessage.CSEQ_SETUP -> {
                 SetUp setUp = sessionId == null ? null : connection.pendingSetUps.get(sessionId);
                 if (setUp != null) setUp.onResponse(response);
             }
-            case CSEQ_TEARDOWN -> {
+            case RtspMessage.CSEQ_TEARDOWN -> {
                 if (sessionId != null) connection.unconfirmedTeardowns.remove(sessionId);
             }
-            case CSEQ_OPTIONS -> {
+            case RtspMessage.CSEQ_OPTIONS -> {
                 if (connection.probe == null) return;
                 Probe probe = connection.probe;
                 connection.probe = null;
@@ -724,7 +731,7 @@
         /** Tears the session down by its id, on the connection of the set-up if it is open, else on another. */
         @Override
         protected void releaseAtHost() {
-            if (connection != null && !connection.closed && connection.reader.failure() == null) {
+            if (connection != null && !connection.closed && connection.inbound.failure() == null) {
                 Connection target = connection;
                 target.unconfirmedTeardowns.put(sessionId, clock.getAsDouble());
                 target.tearDown(sessionId, null);
--- a/src/main/java/trestleline/rtsp/RtspMessage.java
+++ b/src/main/java/trestleline/rtsp/RtspMessage.java
@@ -13,6 +13,12 @@
  * lower case.
  */
 record RtspMessage(String method, int status, Map<String, String> headers, byte[] body) {
+    /** Sequence numbers are fixed for each kind of request, so that an answer's number tells what it answers. */
+    static final int CSEQ_SETUP = 1;
+
+    static final int CSEQ_TEARDOWN = 2;
+    static final int CSEQ_OPTIONS = 3;
+
     private static final Pattern NUMBER = Pattern.compile("-?[0-9]{1,12}(\\.[0-9]{1,12})?");
 
     /** Returns the value of a header by its name in lower case; null if there is none. */
--- a/src/main/java/trestleline/rtsp/RtspReader.java
+++ b/src/main/java/trestleline/rtsp/RtspReader.java
@@ -8,8 +8,8 @@
 
 /**
  * Parses a stream of bytes into RTSP messages, independent of how it is split into chunks. Malformed input fails at the
- * first line that shows it, and nothing after that is read: noise, endless lines and lengths beyond 16 KiB cost no more
- * memory than the bytes buffered here.
+ * first line that shows it, or at the beginning of a line that can't become a start line, and nothing after that is
+ * read: noise, endless lines and lengths beyond 16 KiB cost no more memory than the bytes buffered here.
  */
 final class RtspReader {
     /** Maximum size of a message, head and body. */
@@ -19,6 +19,9 @@
     /** Maximum number of headers. */
     static final int MAX_HEADER_LINES = 32;
 
+    /** Longest name of a method; those of the platform have up to 13 characters. */
+    private static final int MAX_METHOD_LENGTH = 32;
+
     private static final String VERSION = "RTSP/1.0";
     private static final String URL_PREFIX = " rtsp://media/";
 
@@ -44,7 +47,10 @@
     RtspMessage next() {
         while (failure == null && bodyLength < 0) {
             String line = readLine();
-            if (line == null) return null;
+            if (line == null) {
+                if (failure == null && headers == null && !mayBecomeStartLine()) fail("no start line");
+                return null;
+            }
             onLine(line);
         }
         if (failure != null || buffer.size() < bodyLength) return null;
@@ -60,6 +66,11 @@
         return failure;
     }
 
+    /** Whether the start line of an incomplete message was received, and was valid. */
+    boolean hasStartLine() {
+        return headers != null;
+    }
+
     /** Whether a message was received in part. */
     boolean hasPartialMessage() {
         return buffer.size() > 0 || headers != null;
@@ -81,6 +92,25 @@
         return null;
     }
 
+    /** Whether what was received of a line may be the beginning of a status line or of a request line. */
+    private boolean mayBecomeStartLine() {
+        String start = buffer.peekText(Math.min(buffer.size(), MAX_METHOD_LENGTH + URL_PREFIX.length()));
+        if (agree(start, VERSION + " ")) return true;
+        int methodEnd = 0;
+        while (methodEnd < start.length() && isMethodCharacter(start.charAt(methodEnd))) methodEnd++;
+        if (methodEnd > MAX_METHOD_LENGTH || methodEnd == 0 && !start.isEmpty()) return false;
+        return agree(start.substring(methodEnd), URL_PREFIX);
+    }
+
+    /** Whether two texts are the same as far as both go. */
+    private static boolean agree(String first, String second) {
+        return first.startsWith(second) || second.startsWith(first);
+    }
+
+    private static boolean isMethodCharacter(char c) {
+        return c >= 'A' && c <= 'Z' || c == '_';
+    }
+
     private void onLine(String line) {
         if (headers == null) {
             if (!parseStatusLine(line) && !parseRequestLine(line)) {
@@ -123,11 +153,8 @@
     /** Parses {@code METHOD rtsp://media/anything RTSP/1.0}. */
     private boolean parseRequestLine(String line) {
         int methodEnd = line.indexOf(URL_PREFIX);
-        if (methodEnd < 1 || !line.endsWith(" " + VERSION)) return false;
-        for (int i = 0; i < methodEnd; i++) {
-            char c = line.charAt(i);
-            if ((c < 'A' || c > 'Z') && c != '_') return false;
-        }
+        if (methodEnd < 1 || methodEnd > MAX_METHOD_LENGTH || !line.endsWith(" " + VERSION)) return false;
+        for (int i = 0; i < methodEnd; i++) if (!isMethodCharacter(line.charAt(i))) return false;
         int pathStart = methodEnd + URL_PREFIX.length();
         int pathEnd = line.length() - VERSION.length() - 1;
         if (pathEnd < pathStart || line.substring(pathStart, pathEnd).indexOf(' ') >= 0) return false;
--- a/src/test/java/trestleline/platform/PlatformEndToEndTest.java
+++ b/src/test/java/trestleline/platform/PlatformEndToEndTest.java
@@ -213,6 +213,45 @@
         }
     }
 
+    /**
+     * Guards against an answer that is passed on cut off: its length says less than it brings, and the first read of it
+     * ends within its body, where the rest looks like the beginning of another message.
+     */
+    @Test
+    void answerWithTooSmallALengthIsNeverForwardedCutOff() throws Exception {
+        String description = GatewayFixture.ANSWER_DESCRIPTION + "a=fmtp:101 sprop-parameter-sets="
+                + "Z0LAHtkDxWhAAAADAEAAAAwDxYuS".repeat(110) + "\r\n";
+        int[] lengths = {0, 18, description.length() / 2, description.length() - 40, description.length() - 1};
+        for (boolean inTeardown : new boolean[] {false, true}) {
+            for (int length : lengths) {
+                if (inTeardown && length == 0) continue; // a teardown without a body carries no answer
+                Set<String> spoilt = ConcurrentHashMap.newKeySet();
+                GatewayFixture.RequestHandler handler = (request, connection) -> {
+                    if (!request.method().equals("SETUP")) return;
+                    boolean first = spoilt.isEmpty() && spoilt.add(request.session());
+                    if (!first) connection.respond(request, 200, description);
+                    else connection.send(answerOfLength(request, description, length, inTeardown));
+                };
+                try (var fixture = startWithHosts(handler, handler, handler)) {
+                    Viewer viewer = fixture.viewer();
+                    viewer.setUp(1, "free"); // new connections: their first read is short
+                    ViewerMessage message = viewer.nextMessage();
+                    assertEquals(9, message.type(), "length " + length);
+                    assertEquals(description, message.parameters().get(18), "length " + length);
+                }
+            }
+        }
+    }
+
+    /** An answer that says it has a body of some length, as a response or as the teardown of a title played out. */
+    private static String answerOfLength(Request request, String description, int length, boolean inTeardown) {
+        String whole = inTeardown
+                ? "TEARDOWN rtsp://media/exchange RTSP/1.0\r\nCSeq: 2\r\nSession: " + request.session()
+                        + "\r\nReason: cause=16\r\nContent-Length: " + description.length() + "\r\n\r\n" + description
+                : GatewayFixture.Connection.response(request, 200, description);
+        return whole.replace("Content-Length: " + description.length(), "Content-Length: " + length);
+    }
+
     /**
      * A gateway whose event loop was blocked read an answer after the deadline that it had sent to the host, accepted
      * it, and kept a session that the host had dropped. Such an answer must be discarded: the session is torn down, and
--- a/src/test/java/trestleline/rtsp/RtspReaderTest.java
+++ b/src/test/java/trestleline/rtsp/RtspReaderTest.java
@@ -104,6 +104,46 @@
         assertEquals("too many headers", reader.failure());
     }
 
+    /** Guards against the rest of a body that waits for its line end like the beginning of another message. */
+    @Test
+    void partOfALineThatCannotBeginAMessageFailsAtOnce() {
+        for (String rest : List.of("x", "Z0LAHtkD", "\r", "RTSP/2", "TEARDOWN http", "A".repeat(40))) {
+            var inbound = new InboundMessages();
+            inbound.add(bytes("RTSP/1.0 200 OK\r\nCSeq: 1\r\nContent-Length: 2\r\n\r\nab" + rest));
+            assertTrue(inbound.take().isEmpty(), rest);
+            assertNotNull(inbound.failure(), rest);
+            assertNull(inbound.takeLast(), rest);
+        }
+        for (String start :
+                List.of("R", "RTSP/1.", "RTSP/1.0 4", "TEAR", "TEARDOWN rtsp:", "SET_PARAMETER rtsp://media/x")) {
+            var inbound = new InboundMessages();
+            inbound.add(bytes("RTSP/1.0 200 OK\r\nCSeq: 1\r\nContent-Length: 2\r\n\r\nab" + start));
+            assertTrue(inbound.take().isEmpty(), start);
+            assertNull(inbound.failure(), start);
+            assertNull(inbound.takeLast(), "the line may be the rest of a body: " + start);
+        }
+    }
+
+    /** An answer is held back until nothing or a proper message follows; other messages are not. */
+    @Test
+    void answersAreHeldBackUntilWhatFollowsIsKnown() {
+        var inbound = new InboundMessages();
+        inbound.add(bytes("RTSP/1.0 453 Full\r\nCSeq: 1\r\nContent-Length: 0\r\n\r\n"));
+        assertEquals(1, inbound.take().size());
+        inbound.add(bytes("RTSP/1.0 200 OK\r\nCSeq: 1\r\nContent-Length: 2\r\n\r\nab"));
+        assertTrue(inbound.take().isEmpty());
+        assertTrue(inbound.isWaitingForMore());
+        inbound.add(bytes("ANNOUNCE rtsp://media/x RTSP/1.0\r\n"));
+        assertEquals(
+                List.of(200), inbound.take().stream().map(RtspMessage::status).toList());
+        inbound.add(bytes("Content-Length: 0\r\n\r\nRTSP/1.0 200 OK\r\nCSeq: 1\r\nContent-Length: 1\r\n\r\na"));
+        assertEquals(
+                List.of("ANNOUNCE"),
+                inbound.take().stream().map(RtspMessage::method).toList());
+        assertEquals("a", new String(inbound.takeLast().body(), StandardCharsets.ISO_8859_1));
+        assertNull(inbound.takeLast());
+    }
+
     @Test
     void encodedSetUpMatchesTheProtocolDocumentation() {
         String text = new String(
