Set-ups are held back for half a second while their connection is readable

Cause: reading was paused at the bound, and what was read was passed on; mended with the bounded reading, whose wait of 250 ms was short for so much. Change: 500 ms, and 256 messages a turn of all connections instead of 128, so that a connection is read to its end sooner. The test of it.

--- a/src/main/java/trestleline/signaling/ReadyConnections.java
+++ b/src/main/java/trestleline/signaling/ReadyConnections.java
@@ -13,9 +13,9 @@
  */
 final class ReadyConnections<C> {
     /** Messages of one connection per turn at most. */
-    static final int MAX_MESSAGES_PER_TURN = 64;
+    static final int MAX_MESSAGES_PER_TURN = 128;
     /** Messages that one turn of all connections should not exceed by much. */
-    private static final int MESSAGES_PER_ROUND = 128;
+    private static final int MESSAGES_PER_ROUND = 256;
     /**
      * Length of a pass, ms, after which the event loop reads its sockets and runs its timers. Well below the lateness
      * at which the core puts off requests.
--- a/src/main/java/trestleline/signaling/SignalingServer.java
+++ b/src/main/java/trestleline/signaling/SignalingServer.java
@@ -50,7 +50,7 @@
      * How long (ms) the set-ups of a connection that is always readable are held back at most. They wait until it was
      * read to its end, because a release or the close of the connection may lie behind them.
      */
-    private static final double MAX_HOLD_BACK_MS = 250;
+    private static final double MAX_HOLD_BACK_MS = 500;
     /** Unanswered set-ups allowed per connection. */
     private static final int MAX_PENDING_PER_CONNECTION = 256;
     /** Messages kept for viewers that have no connection; the oldest are dropped beyond this. */
--- a/src/test/java/trestleline/platform/RaceConditionsTest.java
+++ b/src/test/java/trestleline/platform/RaceConditionsTest.java
@@ -150,6 +150,37 @@
         }
     }
 
+    /**
+     * Guards against set-ups that are sent on although their client has closed its connection: with more of them than
+     * are read ahead, the close lies behind what is left unread.
+     */
+    @Test
+    void setUpsOfAClientThatClosedBehindMuchUnreadAreNotSentOn() throws Exception {
+        Host[] hosts = new Host[1];
+        int count = 4000;
+        try (var stage = startStage(hosts, GatewayFixture.ACCEPT_SET_UPS)) {
+            Viewer staying = stage.viewer();
+            openHostConnections(staying, hosts[0], 1);
+            for (long first = 10_000; ; first += 10_000) {
+                long from = first;
+                Viewer leaving = stage.viewer();
+                boolean raced = sendWhileLoopIsBlocked(stage, () -> {
+                    leaving.send(setUpMessages(from, from + count));
+                    leaving.close();
+                });
+                staying.setUp(from + count, "free");
+                assertEquals(ANSWER, staying.nextMessage().type());
+                staying.sendRelease(from + count, 31);
+                if (!raced) continue;
+                long sent = receivedSetUps(hosts[0]).stream()
+                        .filter(received -> received >= from && received < from + count)
+                        .count();
+                assertTrue(sent <= MESSAGES_PER_TURN, sent + " of " + count + " sent on although the client had left");
+                return;
+            }
+        }
+    }
+
     @Test
     void queuedSetUpsAreDroppedWhenReleasedAndOthersProceed() throws Exception {
         Host[] hosts = new Host[1];
