The module is told only of taken-over sessions that still stand

Cause: resumeSession told the module of a session that the host client had ended in the call before, as it doesn't know the host any more; a module that still has the host kept it for good. Change: the module is told only if the session is open. Evidence: GatewayTest.sessionThatEndsWhileItIsTakenOverIsNotPassedToTheModule failed before (SessionResumed after AttemptEnded) and passes.

--- a/src/main/java/trestleline/core/Gateway.java
+++ b/src/main/java/trestleline/core/Gateway.java
@@ -415,6 +415,7 @@
         playing++;
         mediaHosts.adopt(request.session.attempt());
         eventQueue.submit(EventQueue.Priority.HOST_RESPONSE, () -> {
+            if (!request.session.open) return; // ended while it was taken over
             dispatch(new Placement.SessionResumed(sessionRequest, handedOver.host()));
             if (rungKnown)
                 dispatch(new Placement.HostNotice(requestId, 0, handedOver.host(), NOTICE_RUNG, handedOver.rung()));
--- a/src/test/java/trestleline/core/GatewayTest.java
+++ b/src/test/java/trestleline/core/GatewayTest.java
@@ -23,7 +23,7 @@
     private static final double STATED_PATIENCE_MS = 9_999_999;
 
     /** Discrete-event simulation of the hosts, the host list and the timers around one gateway. Times are in ms. */
-    private static final class Simulation implements MediaHosts, HostListSource {
+    private static class Simulation implements MediaHosts, HostListSource {
         private record Task(double dueMs, long sequence, Runnable action) {}
 
         final PriorityQueue<Task> tasks = new PriorityQueue<>(
@@ -33,6 +33,7 @@
         final Map<String, String> listedStatus = new HashMap<>();
         final List<String> runningAttempts = new ArrayList<>();
         final SplittableRandom random;
+        final Placement.Settings settings;
         final Gateway gateway;
         double nowMs = 1_000_000;
         double listedAtMs;
@@ -46,7 +47,7 @@
                     "paid", 1500, 0, 3000, Placement.Effect.SIDE_EFFECT, "all", 0, 2, 1, 2, 1, 3, false);
             var repeatableClass = new Placement.RequestClass(
                     "safe", 1000, 0, 5000, Placement.Effect.PURE, "all", 0, 1, 0, 2, 1, 0, false);
-            var settings = new Placement.Settings(
+            settings = new Placement.Settings(
                     0,
                     1,
                     "z",
@@ -391,4 +392,37 @@
         assertEquals(List.of(), simulation.runningAttempts);
         assertEquals(0, simulation.gateway.counts().playing());
     }
+
+    /** Guards against a session that has ended while it was taken over, and that the module then counts for good. */
+    @Test
+    void sessionThatEndsWhileItIsTakenOverIsNotPassedToTheModule() {
+        Gateway[] tested = new Gateway[1];
+        var hosts = new Simulation(6) {
+            @Override
+            public void adopt(Attempt attempt) { // the client does not know the host any more
+                tested[0].reportAttemptEnd(attempt, EndReason.HOST_LOST, Map.of());
+            }
+        };
+        List<Placement.Event> events = new ArrayList<>();
+        DecisionModule module = (now, event) -> {
+            events.add(event);
+            return List.of();
+        };
+        tested[0] = new Gateway(
+                hosts.settings,
+                module,
+                PreWriteCheck.DEFAULT,
+                "g",
+                0,
+                () -> hosts.nowMs,
+                hosts::schedule,
+                hosts,
+                hosts,
+                AttemptJournal.NONE);
+        var viewer = new RecordingViewer(hosts, Double.POSITIVE_INFINITY);
+        var sessionRequest = new Placement.SessionRequest(77, "paid", "", 9, 5, 3000, Double.NaN, 0, HOST_COUNT, 2, 0);
+        tested[0].resumeSession(new OpenSession(sessionRequest, "gone", "0-old-77-0", 2), viewer);
+        assertEquals(0, tested[0].counts().playing());
+        assertFalse(events.stream().anyMatch(Placement.SessionResumed.class::isInstance), events.toString());
+    }
 }
