Sessions that clients hand over are bounded by host, connection and in all

Cause: every session handed over was kept for good, with its description, though nothing on the wire tells whether its host knows it. Change: TakenOverSessions allows four times what a host can run and 4,096 in all; at a limit the connection with the most gives up its latest for another's. The description is not kept, as no set-up follows.

--- a/src/main/java/trestleline/signaling/SignalingServer.java
+++ b/src/main/java/trestleline/signaling/SignalingServer.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -23,6 +24,7 @@
 import trestleline.core.EndReason;
 import trestleline.core.Gateway;
 import trestleline.core.OpenSession;
+import trestleline.core.RequestPayload;
 import trestleline.core.Session;
 import trestleline.core.Viewer;
 import trestleline.placement.Placement;
@@ -53,6 +55,11 @@
     private static final double MAX_HOLD_BACK_MS = 500;
     /** Unanswered set-ups allowed per connection. */
     private static final int MAX_PENDING_PER_CONNECTION = 256;
+    /**
+     * Sessions taken over at one host for each stream that a host can run at most: more than it can run, as some may
+     * have ended without this gateway's knowledge.
+     */
+    private static final int TAKEN_OVER_PER_SLOT = 4;
     /** Messages kept for viewers that have no connection; the oldest are dropped beyond this. */
     private static final int MAX_UNDELIVERED_MESSAGES = 1024;
     /** How long a message for a viewer without a connection is kept. */
@@ -80,6 +87,8 @@
     private final ArrayDeque<UndeliveredMessage> undelivered = new ArrayDeque<>();
     /** Keys of viewers whose session was moved and that have not sent a new set-up yet. */
     private final Set<Long> movedViewers = new LinkedHashSet<>();
+
+    private final TakenOverSessions<Connection, ActiveRequest> takenOverSessions;
     /** Requests that are over and may have run at a host: none runs a second time under its id. */
     private final RecentIds endedIds = new RecentIds();
     /** By id, releases for which no set-up has been processed yet. */
@@ -126,6 +135,8 @@
         this.maxPendingSetUps = maxPendingSetUps;
         this.clock = clock;
         setUpReader = new SetUpReader(settings);
+        takenOverSessions = new TakenOverSessions<>(TAKEN_OVER_PER_SLOT
+                * Arrays.stream(settings.fleet().sessionSlots()).max().orElse(1));
         readyConnections = new ReadyConnections<>(clock, this::processTurn);
     }
 
@@ -540,17 +551,22 @@
     private void takeOver(Connection connection, long id, SetUpReader.SetUp setUp) {
         if (activeRequests.containsKey(id)) return;
         connection.lastActiveAt = clock.getAsDouble();
+        String host = setUp.currentHost();
         var request = new ActiveRequest(id, connection, 0);
+        request.takenOverAt = host;
+        ActiveRequest surplus = takenOverSessions.add(host, connection, request);
+        if (surplus == request) {
+            connection.send(OutgoingMessages.release(id, Message.CAUSE_INTERRUPTED));
+            return;
+        }
         activeRequests.put(id, request);
         connection.playingSessions++;
+        // the description is for a set-up, which has been
+        var payload =
+                new RequestPayload(setUp.payload().session(), setUp.payload().title(), new byte[0]);
         request.session = gateway.resumeSession(
-                new OpenSession(
-                        setUp.request(),
-                        setUp.currentHost(),
-                        setUp.payload().session(),
-                        OpenSession.UNKNOWN_RUNG,
-                        setUp.payload()),
-                request);
+                new OpenSession(setUp.request(), host, payload.session(), OpenSession.UNKNOWN_RUNG, payload), request);
+        if (surplus != null) gateway.endSession(surplus.session, EndReason.SHUTDOWN);
         if (consumeEarlyRelease(connection, id) && activeRequests.get(id) == request) end(request);
     }
 
@@ -616,6 +632,8 @@
         long requestId;
         /** Null until the session plays. */
         Session session;
+        /** Host of a session that was handed over, else null. */
+        String takenOverAt;
 
         ActiveRequest(long id, Connection connection, int reservedBytes) {
             this.id = id;
@@ -625,6 +643,7 @@
 
         void remove() {
             activeRequests.remove(id, this);
+            if (takenOverAt != null) takenOverSessions.remove(takenOverAt, connection, this);
             if (session == null) removePending();
             else connection.playingSessions--;
         }
--- a/src/test/java/trestleline/platform/HostileClientsIT.java
+++ b/src/test/java/trestleline/platform/HostileClientsIT.java
@@ -281,4 +281,34 @@
         }
         assertUsualViewersAreAnswered(5000);
     }
+
+    /**
+     * Guards against sessions that no host knows, handed over without end, each with a description as long as can be.
+     */
+    @Test
+    void sessionsHandedOverWithoutEndDoNotFillTheHeapNorDelayOthers() throws Exception {
+        for (int client = 0; client < 20; client++) {
+            String description = client % 2 == 0 ? longDescription() : GatewayFixture.OFFER_DESCRIPTION;
+            String host = ";at:h" + client % HOSTS;
+            new Flood().sendWithoutEnd(() -> setUp("free", host, description));
+        }
+        assertUsualViewersAreAnswered(8000);
+    }
+
+    /** Guards against what each session that begins and ends leaves behind for some seconds, under ever new ids. */
+    @Test
+    void sessionsHandedOverAndReleasedWithoutEndDoNotFillTheHeap() throws Exception {
+        for (int client = 0; client < 20; client++) {
+            String host = ";at:h" + client % HOSTS;
+            new Flood().sendWithoutEnd(() -> {
+                byte[] message = setUp("free", host, GatewayFixture.OFFER_DESCRIPTION);
+                long id = java.nio.ByteBuffer.wrap(message).getLong(3);
+                var both = new ByteArrayOutputStream();
+                both.writeBytes(message);
+                both.writeBytes(new MessageBuilder(12, id).with(17, "\20").bytes());
+                return both.toByteArray();
+            });
+        }
+        assertUsualViewersAreAnswered(8000);
+    }
 }
