Fields of a request head count against the memory, however short they are

Cause: the memory budget counted four bytes for each byte of a head; a field is an entry with name and value, some 200 bytes. Change: line ends are counted with the bytes and take 200 bytes each; heads of over 64 lines are shed as long ones. The step by which the account may exceed its limit follows: 1,024 fields in one read.

--- a/src/main/java/trestleline/benchmark/HeapStress.java
+++ b/src/main/java/trestleline/benchmark/HeapStress.java
@@ -41,8 +41,8 @@
 
 /**
  * Runs a gateway process with a small heap against hostile clients while viewers play. The hostile clients send
- * requests with long, distinct session ids, request heads that never end and pipelined requests, read no responses, and
- * leave connections idle, all at once.
+ * requests with long, distinct session ids, request heads that never end or have very many fields, and pipelined
+ * requests, read no responses, and leave connections idle, all at once.
  */
 public final class HeapStress {
     /**
@@ -55,6 +55,7 @@
      * @param pipelineDepth requests in each pipeline
      * @param stalledReaders connections that request segments and read no response
      * @param idleConnections connections that send nothing
+     * @param shortFieldHeads connections whose unfinished request head has as many short fields as fit
      * @param seconds duration of the run
      */
     public record Workload(
@@ -65,11 +66,14 @@
             int pipelineDepth,
             int stalledReaders,
             int idleConnections,
+            int shortFieldHeads,
             double seconds) {
         /** The workload of the command {@code measure}. */
-        public static final Workload FULL = new Workload(200, 3800, 1250, 100, 2000, 100, 10_000, 20);
+        public static final Workload FULL = new Workload(200, 3800, 1250, 100, 2000, 100, 10_000, 400, 20);
         /** A shorter workload, for tests. */
-        public static final Workload SHORT = new Workload(60, 1500, 500, 50, 1000, 30, 2500, 6);
+        public static final Workload SHORT = new Workload(60, 1500, 500, 50, 1000, 30, 2500, 0, 6);
+        /** Heads of very many short fields alone, for tests. */
+        public static final Workload SHORT_FIELDS = new Workload(20, 0, 0, 0, 0, 0, 0, 600, 5);
     }
 
     /**
@@ -138,6 +142,9 @@
      */
     private static final String HOSTILE_ADDRESS = "127.0.0.2";
 
+    /** Fields of four bytes that fit into the largest head. */
+    private static final int SHORT_FIELDS = 2000;
+
     private static final String PLAYLIST_PATH = "/a/safe/long/index.m3u8";
 
     private final Workload workload;
@@ -362,6 +369,13 @@
                             .compose(r -> r.body())
                             .onSuccess(b -> requestWithoutReading(netClient, port, b.toString())));
         }
+        String shortFields = "GET " + PLAYLIST_PATH + " HTTP/1.1\r\nHost: x\r\n" + "a:\r\n".repeat(SHORT_FIELDS);
+        for (int i = 0; i < workload.shortFieldHeads(); i++) {
+            runAfter(
+                    vertx,
+                    rampUpMs * i / workload.shortFieldHeads(),
+                    () -> openSocket(netClient, port, socket -> socket.write(shortFields)));
+        }
         for (int i = 0; i < workload.idleConnections(); i++)
             runAfter(vertx, rampUpMs * i / workload.idleConnections(), () -> openSocket(netClient, port, socket -> {}));
     }
--- a/src/main/java/trestleline/http/ChannelHandlers.java
+++ b/src/main/java/trestleline/http/ChannelHandlers.java
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.LastHttpContent;
-import java.util.function.IntConsumer;
 
 /**
  * Channel handlers for what the HTTP library does not report: bytes of an incomplete request head, and requests that
@@ -16,23 +15,35 @@
 final class ChannelHandlers {
     private ChannelHandlers() {}
 
-    /** Reports the number of bytes of each read; must be the first handler of the pipeline. */
+    /** Reports the size of each read; must be the first handler of the pipeline. */
     static final class ReadMeter extends ChannelInboundHandlerAdapter {
-        private final IntConsumer onBytesRead;
+        /** Gets the size of a read before it is processed. */
+        interface ReadListener {
+            /** Called with the number of bytes that were read and the number of line ends among them. */
+            void onRead(int bytes, int lines);
+        }
+
+        private final ReadListener listener;
         private final Runnable onProcessed;
 
-        /**
-         * @param onBytesRead gets the number of bytes before they are processed
-         * @param onProcessed runs after the rest of the pipeline has processed them
-         */
-        ReadMeter(IntConsumer onBytesRead, Runnable onProcessed) {
-            this.onBytesRead = onBytesRead;
+        /** @param onProcessed runs after the rest of the pipeline has processed a read */
+        ReadMeter(ReadListener listener, Runnable onProcessed) {
+            this.listener = listener;
             this.onProcessed = onProcessed;
         }
 
+        private static int countLines(ByteBuf buffer) {
+            int[] lines = {0};
+            buffer.forEachByte(octet -> {
+                if (octet == '\n') lines[0]++;
+                return true;
+            });
+            return lines[0];
+        }
+
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
-            if (message instanceof ByteBuf buffer) onBytesRead.accept(buffer.readableBytes());
+            if (message instanceof ByteBuf buffer) listener.onRead(buffer.readableBytes(), countLines(buffer));
             context.fireChannelRead(message);
             onProcessed.run();
         }
--- a/src/main/java/trestleline/http/Connections.java
+++ b/src/main/java/trestleline/http/Connections.java
@@ -23,12 +23,15 @@
     private static final int MAX_PENDING_REQUESTS = 4;
     /** Bytes of one socket read at most: what is read at once is also decoded at once. */
     private static final int MAX_READ_BYTES = 4096;
+    /** Bytes of the shortest field of a head: name, colon and line end. */
+    private static final int MIN_FIELD_BYTES = 4;
     /**
      * Bytes by which the account may exceed the limit while one read is processed: memory is freed only after it,
      * because a request that is answered right away needs none.
      */
-    static final long OVERSHOOT_BYTES =
-            MemoryBudget.HEAD_MEMORY_FACTOR * (long) MAX_READ_BYTES + MemoryBudget.REQUEST_BYTES;
+    static final long OVERSHOOT_BYTES = MemoryBudget.HEAD_MEMORY_FACTOR * (long) MAX_READ_BYTES
+            + MemoryBudget.FIELD_BYTES * (MAX_READ_BYTES / MIN_FIELD_BYTES)
+            + MemoryBudget.REQUEST_BYTES;
 
     /** A timeout that fires later than this (ms) was delayed by the event loop and is extended instead. */
     private static final double MAX_TIMER_DELAY_MS = 50;
@@ -66,7 +69,7 @@
         // as an unfinished head.
         channel.pipeline()
                 .addFirst(new ChannelHandlers.ReadMeter(
-                        bytes -> budget.headBytesRead(connection, bytes), () -> freeMemory(0)));
+                        (bytes, lines) -> budget.headBytesRead(connection, bytes, lines), () -> freeMemory(0)));
         channel.pipeline()
                 .addBefore(
                         "handler",
--- a/src/main/java/trestleline/http/MemoryBudget.java
+++ b/src/main/java/trestleline/http/MemoryBudget.java
@@ -57,8 +57,12 @@
     static final long TRANSFER_BYTES = 48_000;
     /** Bytes of memory per byte of a request head, once it is parsed into names and values. */
     static final int HEAD_MEMORY_FACTOR = 4;
+    /** Bytes of memory per field of a request head, however short it is. */
+    static final long FIELD_BYTES = 200;
     /** Bytes above which a request head is long: a player's has a few hundred. */
     static final int LONG_HEAD_BYTES = 2048;
+    /** Lines above which a request head is long: a player's has some twenty. */
+    private static final int LONG_HEAD_LINES = 64;
 
     private static final double UNNAMED_LIMIT_FRACTION = 0.75;
     private static final List<ConnectionState> STATES_SHED_BY_AGE =
@@ -84,10 +88,19 @@
 
         ConnectionState state = ConnectionState.ACCEPTED;
         long bytes = CONNECTION_BYTES;
+        /** Bytes and line ends of the unfinished request head. */
+        long headBytes;
+
+        int headLines;
 
         Entry(long sequence) {
             this.sequence = sequence;
         }
+
+        void startHead() {
+            headBytes = 0;
+            headLines = 0;
+        }
     }
 
     MemoryBudget(long limitBytes) {
@@ -121,15 +134,21 @@
         entry.bytes = CONNECTION_BYTES + extraBytes;
     }
 
-    /** Adds bytes of a request head that were read; a busy or playing connection is accounted for by its request. */
-    void headBytesRead(C connection, long bytes) {
+    /**
+     * Adds bytes of a request head that were read, with the number of line ends among them; a busy or playing
+     * connection is accounted for by its request.
+     */
+    void headBytesRead(C connection, long bytes, int lines) {
         Entry entry = entries.get(connection);
         if (entry == null || entry.state == ConnectionState.BUSY || entry.state == ConnectionState.PLAYING) return;
-        long headBytes = (inHead(entry) ? entry.bytes - CONNECTION_BYTES : 0) + bytes * HEAD_MEMORY_FACTOR;
+        if (!inHead(entry)) entry.startHead();
+        entry.headBytes += bytes;
+        entry.headLines += lines;
+        boolean isLong = entry.headBytes > LONG_HEAD_BYTES || entry.headLines > LONG_HEAD_LINES;
         setState(
                 connection,
-                headBytes > LONG_HEAD_BYTES * HEAD_MEMORY_FACTOR ? ConnectionState.LONG_HEAD : ConnectionState.HEAD,
-                headBytes);
+                isLong ? ConnectionState.LONG_HEAD : ConnectionState.HEAD,
+                entry.headBytes * HEAD_MEMORY_FACTOR + entry.headLines * FIELD_BYTES);
     }
 
     private static boolean inHead(Entry entry) {
--- a/src/test/java/trestleline/benchmark/HeapStressTest.java
+++ b/src/test/java/trestleline/benchmark/HeapStressTest.java
@@ -27,4 +27,12 @@
                 result.status().getLong("connectionsShed") + result.status().getLong("sessionsShed") > 0,
                 "the gateway had to shed load: " + result.summary());
     }
+
+    /** Guards against heads whose many short fields take far more memory than their bytes are accounted for. */
+    @Test
+    void headsOfManyShortFieldsAreAccountedFor() throws Exception {
+        HeapStress.Result result = new HeapStress(HeapStress.Workload.SHORT_FIELDS).run(96);
+        System.out.println(result.summary());
+        assertTrue(result.survived(), result.summary());
+    }
 }
--- a/src/test/java/trestleline/http/MemoryBudgetTest.java
+++ b/src/test/java/trestleline/http/MemoryBudgetTest.java
@@ -63,13 +63,27 @@
         assertEquals(10, budget.connectionsShedCount());
     }
 
+    /** Guards against heads of very many short fields that are accounted for by their bytes alone. */
+    @Test
+    void fieldsOfAHeadAreAccountedFor() {
+        MemoryBudget<String, String> budget = budgetForConnections(5);
+        budget.opened("a");
+        budget.headBytesRead("a", 400, 20);
+        assertEquals(ConnectionState.HEAD, budget.state("a"));
+        budget.headBytesRead("a", 400, 100);
+        assertEquals(ConnectionState.LONG_HEAD, budget.state("a"));
+        assertEquals(
+                MemoryBudget.CONNECTION_BYTES + 800 * MemoryBudget.HEAD_MEMORY_FACTOR + 120 * MemoryBudget.FIELD_BYTES,
+                budget.usedBytes());
+    }
+
     @Test
     void headCountsAsLongOnceItsBytesExceedTheThreshold() {
         MemoryBudget<String, String> budget = budgetForConnections(5);
         budget.opened("a");
-        budget.headBytesRead("a", MemoryBudget.LONG_HEAD_BYTES);
+        budget.headBytesRead("a", MemoryBudget.LONG_HEAD_BYTES, 0);
         assertEquals(ConnectionState.HEAD, budget.state("a"));
-        budget.headBytesRead("a", 1);
+        budget.headBytesRead("a", 1, 0);
         assertEquals(ConnectionState.LONG_HEAD, budget.state("a"));
         assertEquals(
                 MemoryBudget.CONNECTION_BYTES + (MemoryBudget.LONG_HEAD_BYTES + 1) * MemoryBudget.HEAD_MEMORY_FACTOR,
@@ -98,14 +112,14 @@
     void accountsForTheBytesReadOfAHead() {
         MemoryBudget<String, String> budget = budgetForConnections(4);
         budget.opened("a");
-        budget.headBytesRead("a", 100);
-        budget.headBytesRead("a", 50);
+        budget.headBytesRead("a", 100, 0);
+        budget.headBytesRead("a", 50, 0);
         assertEquals(MemoryBudget.CONNECTION_BYTES + 150 * MemoryBudget.HEAD_MEMORY_FACTOR, budget.usedBytes());
         budget.requestReceived("a");
         assertEquals(
                 MemoryBudget.CONNECTION_BYTES + MemoryBudget.REQUEST_BYTES + 150 * MemoryBudget.HEAD_MEMORY_FACTOR,
                 budget.usedBytes());
-        budget.headBytesRead("a", 1000);
+        budget.headBytesRead("a", 1000, 0);
         assertEquals(ConnectionState.BUSY, budget.state("a"), "pipelined requests are limited by number, not by bytes");
         budget.setState("a", ConnectionState.IDLE, 0);
         budget.sessionStarted("s");
@@ -134,7 +148,7 @@
                     budget.closed(connection);
                     open.remove(connection);
                 }
-                case 2 -> budget.headBytesRead(connection, random.nextInt(2000));
+                case 2 -> budget.headBytesRead(connection, random.nextInt(2000), random.nextInt(500));
                 default -> {
                     ConnectionState state = ConnectionState.values()[random.nextInt(ConnectionState.values().length)];
                     budget.setState(connection, state, random.nextInt(5000));
