A process at a host's address is not taken for the host after a loss

Cause: RtspHostClient took whatever accepts a connection at the address for the host; what it knew of the process had ended with the last connection. Change: after the last connection broke or a connect was refused, no set-up is written there for 5 s, unless the host speaks of a session or the list tells of a later start; a new running name at an address ends the one before it. Such an attempt ends as one that never ran.

--- a/src/main/java/trestleline/hosts/Exchange.java
+++ b/src/main/java/trestleline/hosts/Exchange.java
@@ -23,6 +23,8 @@
         CONNECT_FAILED,
         /** This gateway has reached its limit of connections, which is no fault of the host's. */
         NO_ROOM,
+        /** It is open whether the process at the host's address is the host; nothing may be sent to it yet. */
+        IDENTITY_OPEN,
         /** No connection within {@code rules.connectTimeout}; may still fire after one was established. */
         CONNECT_TIME_UP,
         /** The check before the write allows it. */
@@ -125,7 +127,7 @@
                 state = State.FINISHED;
                 return Step.finish(Outcome.CONNECT_ERROR);
             }
-            case NO_ROOM -> {
+            case NO_ROOM, IDENTITY_OPEN -> {
                 state = State.FINISHED;
                 return Step.finish(Outcome.IGNORED);
             }
--- a/src/main/java/trestleline/node/PlatformNode.java
+++ b/src/main/java/trestleline/node/PlatformNode.java
@@ -130,6 +130,7 @@
                         listed.entry().host(),
                         listed.ip(),
                         listed.port(),
+                        listed.entry().status().equals("Running"),
                         listed.entry().startedAt());
         }
         if (change.mode().equals("whole")) {
--- a/src/main/java/trestleline/rtsp/HostLiveness.java
+++ b/src/main/java/trestleline/rtsp/HostLiveness.java
@@ -22,11 +22,18 @@
      */
     static final double DELISTED_GRACE_MS = 700;
 
+    /**
+     * Time (ms) after the loss of all connections for which it is open whether the process that accepts the next one is
+     * the same. The host list names a host that has gone within that time.
+     */
+    static final double IDENTITY_DOUBT_MS = 5000;
+
     /** When the last connection was established or the last bytes were received. */
     private double heard;
 
     private double delistedAt = Double.POSITIVE_INFINITY;
     private int failedConnects;
+    private double identityDoubtedUntil = Double.NEGATIVE_INFINITY;
 
     HostLiveness(double now) {
         heard = now;
@@ -68,4 +75,22 @@
         if (refused) return Verdict.LOST;
         return ++failedConnects >= MAX_FAILED_CONNECTS ? Verdict.SILENT : Verdict.UNKNOWN;
     }
+
+    /**
+     * Records that the last open connection broke, or that a connect was refused. An address says nothing of the
+     * process that listens there: another host's may have come up at it.
+     */
+    void allConnectionsLost(double now) {
+        identityDoubtedUntil = now + IDENTITY_DOUBT_MS;
+    }
+
+    /** Records a proof that the process is the host's: it knows of a session, or the list tells of its start. */
+    void identityProved() {
+        identityDoubtedUntil = Double.NEGATIVE_INFINITY;
+    }
+
+    /** Whether what accepts connections at the host's address can be taken for the host. */
+    boolean isIdentityKnown(double now) {
+        return now >= identityDoubtedUntil;
+    }
 }
--- a/src/main/java/trestleline/rtsp/RtspHostClient.java
+++ b/src/main/java/trestleline/rtsp/RtspHostClient.java
@@ -54,6 +54,8 @@
      * closing it.
      */
     private static final double REUSABLE_IDLE_FRACTION = 0.7;
+    /** Fraction of the hosts' idle timeout from which on a host's close of a connection is no sign of its death. */
+    private static final double CLOSABLE_IDLE_FRACTION = 0.9;
 
     private final Vertx vertx;
     private final Placement.Rules rules;
@@ -90,6 +92,8 @@
 
         int pendingConnects;
         boolean livenessCheckPending;
+        /** When the process started, as listed (Unix ms); 0 if that is not known. */
+        double startedAt;
 
         Endpoint(String name, String ip, int port, double now) {
             this.name = name;
@@ -149,9 +153,10 @@
      * Adds a listed host or updates it. A host whose address changed, or one that is listed again, counts as a new
      * process: the sessions known there are lost.
      *
+     * @param isRunning whether the host is listed as running; if it is new, any other host at its address has gone
      * @param hostStartedAt when the host started (Unix ms); 0 if that is not known
      */
-    public void addHost(String host, String ip, int port, double hostStartedAt) {
+    public void addHost(String host, String ip, int port, boolean isRunning, double hostStartedAt) {
         if (closed) return;
         Endpoint endpoint = endpoints.get(host);
         if (endpoint != null && (!endpoint.ip.equals(ip) || endpoint.port != port || !endpoint.liveness.isListed())) {
@@ -164,11 +169,24 @@
         if (endpoint == null) {
             endpoint = new Endpoint(host, ip, port, clock.getAsDouble());
             endpoints.put(host, endpoint);
+            if (isRunning) delistOthersAt(endpoint);
+        }
+        if (hostStartedAt > endpoint.startedAt) {
+            endpoint.startedAt = hostStartedAt;
+            endpoint.liveness.identityProved();
         }
         for (HostSession s : List.copyOf(endpoint.sessions))
             if (s.startedAt < hostStartedAt) endSession(s, EndReason.HOST_LOST);
     }
 
+    /** Marks other hosts at the address of a new one as gone, whatever the list has told of them so far. */
+    private void delistOthersAt(Endpoint newEndpoint) {
+        for (Endpoint other : List.copyOf(endpoints.values())) {
+            if (other != newEndpoint && other.port == newEndpoint.port && other.ip.equals(newEndpoint.ip))
+                markDelisted(other.name);
+        }
+    }
+
     /** Marks a host as no longer listed. Its idle connections are closed, as another host may soon get its address. */
     public void markDelisted(String host) {
         Endpoint endpoint = endpoints.get(host);
@@ -320,7 +338,10 @@
                         .addKeyValue("cause", result.cause())
                         .log("could not connect to a host");
                 HostLiveness.Verdict verdict = endpoint.liveness.connectFailed(isConnectionRefused(result.cause()));
-                if (verdict == HostLiveness.Verdict.LOST) endAllSessions(endpoint, EndReason.HOST_LOST);
+                if (verdict == HostLiveness.Verdict.LOST) {
+                    endpoint.liveness.allConnectionsLost(clock.getAsDouble());
+                    endAllSessions(endpoint, EndReason.HOST_LOST);
+                }
                 if (verdict == HostLiveness.Verdict.SILENT) {
                     endAllSessions(endpoint, EndReason.HOST_SILENT);
                     for (Connection connection : List.copyOf(endpoint.connections)) connection.close();
@@ -345,6 +366,8 @@
                     .log("connection to a host broke"));
             connection.socket.closeHandler(v -> {
                 processLast(connection);
+                if (!connection.closed && isLastAndBroken(connection))
+                    endpoint.liveness.allConnectionsLost(clock.getAsDouble());
                 closed(connection);
             });
             connection.socket.handler(b -> onBytes(connection, b.getBytes()));
@@ -353,6 +376,15 @@
         });
     }
 
+    /**
+     * Whether a connection that its host has closed is the only one, and was not idle for so long that hosts close it.
+     * A process that dies takes all its connections along.
+     */
+    private boolean isLastAndBroken(Connection connection) {
+        return connection.endpoint.connections.size() == 1
+                && clock.getAsDouble() - connection.lastUsedAt < CLOSABLE_IDLE_FRACTION * hostIdleTimeoutMs;
+    }
+
     /** Passes the result of a connect to the call-backs that wait for it; null if it failed. */
     private static void notifyWaiters(Endpoint endpoint, Connection connection) {
         for (var waiter = endpoint.waiters.poll(); waiter != null; waiter = endpoint.waiters.poll())
@@ -532,6 +564,7 @@
     private void onRequest(Connection connection, RtspMessage request) {
         String sessionId = request.sessionId();
         HostSession session = sessionId == null ? null : sessions.get(sessionId);
+        if (session != null && session.endpoint == connection.endpoint) session.endpoint.liveness.identityProved();
         switch (request.method()) {
             case "TEARDOWN" -> {
                 int cause = causeCode(request.header("reason"));
@@ -616,6 +649,10 @@
                 handle(Exchange.Event.NO_ADDRESS);
                 return;
             }
+            if (!endpoint.liveness.isIdentityKnown(clock.getAsDouble())) {
+                handle(Exchange.Event.IDENTITY_OPEN);
+                return;
+            }
             Connection existing = findIdleConnection(endpoint);
             if (existing == null && connectionCount >= maxConnections && !closeIdleOfOtherHost(endpoint))
                 existing = leastLoadedConnection();
@@ -628,6 +665,7 @@
             RtspHostClient.this.connect(endpoint, opened -> {
                 if (opened == null || opened.closed || opened.pendingSetUps.containsKey(sessionId))
                     handle(mayConnect ? Exchange.Event.CONNECT_FAILED : Exchange.Event.NO_ROOM);
+                else if (!endpoint.liveness.isIdentityKnown(clock.getAsDouble())) handle(Exchange.Event.IDENTITY_OPEN);
                 else if (!isFinished()) useConnection(opened); // else it stays idle, for the next set-up
             });
         }
--- a/src/test/java/trestleline/platform/GatewayFixture.java
+++ b/src/test/java/trestleline/platform/GatewayFixture.java
@@ -119,11 +119,19 @@
         return host;
     }
 
-    /** A host on the port of one that was closed. */
-    Host hostOnPort(int port, RequestHandler handler) throws IOException {
-        var host = new Host(handler, port);
-        resources.add(host);
-        return host;
+    /** A host on the port of one that was closed, as soon as the system gives the port away. */
+    Host hostOnPort(int port, RequestHandler handler) throws Exception {
+        Host[] host = new Host[1];
+        waitUntil("port " + port + " is free", () -> {
+            try {
+                host[0] = new Host(handler, port);
+            } catch (IOException e) {
+                return false;
+            }
+            return true;
+        });
+        resources.add(host[0]);
+        return host[0];
     }
 
     @Override
--- a/src/test/java/trestleline/platform/ModuleEventsTest.java
+++ b/src/test/java/trestleline/platform/ModuleEventsTest.java
@@ -99,7 +99,7 @@
                         },
                         AttemptJournal.NONE);
                 hosts.attach(gateway);
-                hosts.addHost("h0", "127.0.0.1", host.port(), 0);
+                hosts.addHost("h0", "127.0.0.1", host.port(), true, 0);
                 server = new SignalingServer(vertx, settings, gateway, 50, 100, clock);
                 gateway.updateHostList(new Placement.HostListUpdate(
                         "whole", List.of(new Placement.HostEntry("h0", "Running", "k", 0, "z", 1, 0)), 1));
--- a/src/test/java/trestleline/platform/PlatformEndToEndTest.java
+++ b/src/test/java/trestleline/platform/PlatformEndToEndTest.java
@@ -818,6 +818,53 @@
         }
     }
 
+    /**
+     * Guards against a process that is taken for the one that listened at its address before: what was meant for that
+     * one went to it until the list told of the change.
+     */
+    @Test
+    void newProcessAtTheAddressOfOneThatDiedGetsNothingBeforeTheListNamesIt() throws Exception {
+        try (var fixture = new GatewayFixture()) {
+            Host died = fixture.host(GatewayFixture.ACCEPT_SET_UPS);
+            listHosts(fixture, died);
+            fixture.start();
+            Viewer viewer = fixture.viewer();
+            viewer.setUp(1, "free");
+            assertAnswered(viewer.nextMessage(), 1);
+            int port = died.port();
+            died.close();
+            Host replacement = fixture.hostOnPort(port, GatewayFixture.ACCEPT_SET_UPS);
+            long untilMs = System.currentTimeMillis() + 2000; // the list tells of a dead host within some seconds
+            long id = 2;
+            for (; System.currentTimeMillis() < untilMs; id++) {
+                viewer.setUp(id, "free");
+                Thread.sleep(20);
+            }
+            assertEquals(List.of(), replacement.requests("SETUP"), "set up at a process that no list names");
+            fixture.feed.publish(
+                    GatewayFixture.feedEvent(2, false, GatewayFixture.hostEntry("h9", 0, replacement, "up")));
+            long firstAfterChange = id;
+            GatewayFixture.waitUntil("the new host is used", () -> {
+                try {
+                    viewer.setUp(System.nanoTime(), "free");
+                    return !replacement.requests("SETUP").isEmpty();
+                } catch (IOException e) {
+                    throw new IllegalStateException(e);
+                }
+            });
+            Set<Long> released = new HashSet<>();
+            while (!released.contains(1L)) {
+                ViewerMessage message = viewer.nextMessage();
+                if (message.type() == RELEASE) released.add(message.session());
+            }
+            for (long i = 2; i < firstAfterChange; i++) {
+                String session = GatewayFixture.toHex(i);
+                assertFalse(replacement.requests("SETUP").stream()
+                        .anyMatch(request -> request.session().equals(session)));
+            }
+        }
+    }
+
     /**
      * Hundreds of set-ups released at once, a body of 60 MB and a client that never reads leave no state behind, and
      * other viewers are served.
--- a/src/test/java/trestleline/rtsp/HostLivenessTest.java
+++ b/src/test/java/trestleline/rtsp/HostLivenessTest.java
@@ -41,4 +41,18 @@
         assertFalse(liveness.delistedGraceOver(100 + HostLiveness.DELISTED_GRACE_MS));
         assertTrue(liveness.delistedGraceOver(101 + HostLiveness.DELISTED_GRACE_MS));
     }
+
+    /** Guards against a new process at the address of one that died that is taken for it. */
+    @Test
+    void identityIsOpenAfterTheLossOfAllConnectionsUntilItIsProvedOrTheListHasSpoken() {
+        var liveness = new HostLiveness(0);
+        assertTrue(liveness.isIdentityKnown(0));
+        liveness.allConnectionsLost(1000);
+        liveness.heard(1001); // a process accepts connections, whichever it is
+        assertFalse(liveness.isIdentityKnown(1000 + HostLiveness.IDENTITY_DOUBT_MS - 1));
+        assertTrue(liveness.isIdentityKnown(1000 + HostLiveness.IDENTITY_DOUBT_MS));
+        liveness.allConnectionsLost(20_000);
+        liveness.identityProved();
+        assertTrue(liveness.isIdentityKnown(20_001));
+    }
 }
