Nobody counts as silent until the sockets were read after a stall

Cause: both checks judge silence by the clock, and overdue timers may run before the sockets are read. Change: StallGuard: a check that comes late, and those within one interval after it, judge nobody. Viewers, feed and hosts.

--- a/src/main/java/trestleline/feed/FeedClient.java
+++ b/src/main/java/trestleline/feed/FeedClient.java
@@ -12,6 +12,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import trestleline.core.HostListSource;
+import trestleline.core.StallGuard;
 import trestleline.discovery.Backoff;
 import trestleline.discovery.ListedHost;
 import trestleline.discovery.LoopbackAddress;
@@ -56,6 +57,7 @@
     private final Consumer<Placement.HostListUpdate> updateListener;
     private final DoubleSupplier clock;
     private final Backoff backoff;
+    private final StallGuard stallGuard;
     private final NetClient client;
     private LoopbackAddress feedAddress;
     private Connection active;
@@ -94,6 +96,7 @@
         this.changeListener = changeListener;
         this.updateListener = updateListener;
         this.clock = clock;
+        stallGuard = new StallGuard(CHECK_INTERVAL_MS, clock.getAsDouble());
         backoff = new Backoff(MIN_RETRY_DELAY_MS, MAX_RETRY_DELAY_MS, seed);
         client =
                 vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true).setConnectTimeout(CONNECT_TIMEOUT_MS));
@@ -236,11 +239,15 @@
 
     private void checkTimeouts() {
         double now = clock.getAsDouble();
+        if (stallGuard.mayJudge(now)) dropSilentConnections(now);
+        boolean addressChanged = active != null && !active.address.equals(feedAddress);
+        if ((active == null || addressChanged) && pending == null && now >= nextConnectMs) connect();
+    }
+
+    private void dropSilentConnections(double now) {
         if (active != null && now - active.lastReceivedMs > SILENCE_TIMEOUT_MS) onDisconnect(active, "silent");
         if (pending != null && pending.socket != null && now - pending.lastReceivedMs > PENDING_TIMEOUT_MS)
             onDisconnect(pending, "no answer to the subscription");
-        boolean addressChanged = active != null && !active.address.equals(feedAddress);
-        if ((active == null || addressChanged) && pending == null && now >= nextConnectMs) connect();
     }
 
     /** Does nothing: the feed is followed all the time. */
--- a/src/main/java/trestleline/rtsp/RtspHostClient.java
+++ b/src/main/java/trestleline/rtsp/RtspHostClient.java
@@ -25,6 +25,7 @@
 import trestleline.core.EndReason;
 import trestleline.core.Gateway;
 import trestleline.core.MediaHosts;
+import trestleline.core.StallGuard;
 import trestleline.hosts.Exchange;
 import trestleline.hosts.ExchangeDriver;
 import trestleline.placement.Placement;
@@ -63,6 +64,7 @@
     private final int maxConnections;
     private final DoubleSupplier clock;
     private final NetClient client;
+    private final StallGuard stallGuard;
     private final Map<String, Endpoint> endpoints = new LinkedHashMap<>();
     private final Map<String, HostSession> sessions = new HashMap<>();
     private Gateway gateway;
@@ -138,6 +140,7 @@
         this.hostIdleTimeoutMs = hostIdleTimeoutMs;
         this.maxConnections = maxConnections;
         this.clock = clock;
+        stallGuard = new StallGuard(SWEEP_INTERVAL_MS, clock.getAsDouble());
         client =
                 vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true).setConnectTimeout((int)
                         Math.max(1, rules.connectTimeout())));
@@ -464,6 +467,7 @@
     /** Checks hosts with sessions for liveness, and closes connections that are retired or idle for too long. */
     private void sweep() {
         double now = clock.getAsDouble();
+        if (!stallGuard.mayJudge(now)) return;
         for (Endpoint endpoint : List.copyOf(endpoints.values())) {
             boolean hasSessions = !endpoint.sessions.isEmpty();
             if (!endpoint.liveness.isListed()) {
--- a/src/main/java/trestleline/signaling/SignalingServer.java
+++ b/src/main/java/trestleline/signaling/SignalingServer.java
@@ -26,6 +26,7 @@
 import trestleline.core.OpenSession;
 import trestleline.core.RequestPayload;
 import trestleline.core.Session;
+import trestleline.core.StallGuard;
 import trestleline.core.Viewer;
 import trestleline.placement.Placement;
 
@@ -94,6 +95,7 @@
     /** By id, releases for which no set-up has been processed yet. */
     private final Map<Long, EarlyRelease> earlyReleases = new LinkedHashMap<>();
 
+    private final StallGuard stallGuard;
     private NetServer server;
     private int pendingSetUps;
     private final SetUpMemory setUpMemory = new SetUpMemory();
@@ -134,6 +136,7 @@
         this.maxConnections = maxConnections;
         this.maxPendingSetUps = maxPendingSetUps;
         this.clock = clock;
+        stallGuard = new StallGuard(SWEEP_INTERVAL_MS, clock.getAsDouble());
         setUpReader = new SetUpReader(settings);
         takenOverSessions = new TakenOverSessions<>(TAKEN_OVER_PER_SLOT
                 * Arrays.stream(settings.fleet().sessionSlots()).max().orElse(1));
@@ -275,6 +278,12 @@
     /** Closes silent connections and drops expired undelivered messages and early releases. */
     private void sweep() {
         double now = clock.getAsDouble();
+        if (stallGuard.mayJudge(now)) closeSilentConnections(now);
+        while (!undelivered.isEmpty() && undelivered.peekFirst().expiresAt < now) undelivered.removeFirst();
+        earlyReleases.values().removeIf(release -> release.expiresAt < now);
+    }
+
+    private void closeSilentConnections(double now) {
         for (Connection connection : new ArrayList<>(connections)) {
             boolean idle =
                     connection.pendingIds.isEmpty() && connection.playingSessions == 0 && !connection.hasUnprocessed();
@@ -282,8 +291,6 @@
             if (now - connection.incompleteSince > SILENCE_TIMEOUT_MS) abort(connection);
             else if (idle && now - connection.lastActiveAt > SILENCE_TIMEOUT_MS) connection.close();
         }
-        while (!undelivered.isEmpty() && undelivered.peekFirst().expiresAt < now) undelivered.removeFirst();
-        earlyReleases.values().removeIf(release -> release.expiresAt < now);
     }
 
     private void onClosed(Connection connection) {
