A check of a quiet host replaces a connection instead of adding one

Cause: each check of a host that was not heard for 3 s left one more connection, as none is closed while the host has a session without one of its own; at the limit no check was possible. Change: before a check opens a connection it closes the idle one used longest ago, if there is another one or the limit is reached; what is lost with it is sent again on the next one opened.

--- a/src/main/java/trestleline/rtsp/RtspHostClient.java
+++ b/src/main/java/trestleline/rtsp/RtspHostClient.java
@@ -438,9 +438,25 @@
         if (closed || endpoint.livenessCheckPending || !endpoint.liveness.isListed()) return;
         endpoint.livenessCheckPending = true;
         livenessChecks++;
+        closeSurplusConnection(endpoint);
         connect(endpoint, connection -> endpoint.livenessCheckPending = false);
     }
 
+    /**
+     * Closes an idle connection to a host to which another one is about to be opened, so that checks of quiet hosts do
+     * not use up the connections. It is closed before the other is opened: a report that is lost with it is sent again
+     * on the next one opened.
+     */
+    private void closeSurplusConnection(Endpoint endpoint) {
+        if (endpoint.connections.size() < 2 && connectionCount < maxConnections) return;
+        Connection oldest = null;
+        for (Connection connection : endpoint.connections) {
+            if (!connection.isIdle() || !connection.boundSessions.isEmpty()) continue;
+            if (oldest == null || connection.lastUsedAt < oldest.lastUsedAt) oldest = connection;
+        }
+        if (oldest != null) oldest.close();
+    }
+
     private void endAllSessions(Endpoint endpoint, EndReason reason) {
         for (HostSession session : List.copyOf(endpoint.sessions)) endSession(session, reason);
     }
--- a/src/test/java/trestleline/platform/PlatformEndToEndTest.java
+++ b/src/test/java/trestleline/platform/PlatformEndToEndTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -865,6 +866,36 @@
         }
     }
 
+    /**
+     * Guards against checks of quiet hosts that use up the connections, so that none is left to notice a host that has
+     * vanished.
+     */
+    @Test
+    void hostThatVanishesAfterAQuietTimeIsNoticed() throws Exception {
+        int hostCount = 8; // of 96 descriptors 22 are for connections to hosts
+        try (var fixture = new GatewayFixture()) {
+            Host[] hosts = new Host[hostCount];
+            for (int i = 0; i < hostCount; i++) hosts[i] = fixture.host(GatewayFixture.ACCEPT_SET_UPS);
+            listHosts(fixture, hosts);
+            fixture.start(96);
+            Viewer viewer = fixture.viewer();
+            for (int i = 0; i < hostCount; i++) {
+                String figures = "home:0;copies:4;top:1;viewer:" + GatewayFixture.toHex(i + 1) + ";at:h" + i;
+                viewer.send(Viewer.setUp(i + 1, "free", "a", figures, GatewayFixture.OFFER_DESCRIPTION));
+            }
+            Thread.sleep(10_000); // nothing happens: each host is checked three times
+            long open = Arrays.stream(hosts)
+                    .flatMap(host -> host.connections.stream())
+                    .filter(connection -> !connection.closedByPeer)
+                    .count();
+            assertTrue(open <= 2L * hostCount, open + " connections to quiet hosts");
+            hosts[hostCount - 1].becomeUnreachable();
+            ViewerMessage message = viewer.messages.poll(8050, TimeUnit.MILLISECONDS); // the platform's bound
+            assertNotNull(message, "no release of a vanished host's session");
+            assertEquals(List.of(RELEASE, (long) hostCount), List.of(message.type(), message.session()));
+        }
+    }
+
     /**
      * Hundreds of set-ups released at once, a body of 60 MB and a client that never reads leave no state behind, and
      * other viewers are served.
