The time of a write is taken after the check before it

Change: the clock is read again once the check allows the write. Evidence: GatewayTest.waitedTimeBeginsWhenTheCheckBeforeTheWriteIsOver failed before (70 ms told for 30) and passes.

--- a/src/main/java/trestleline/core/Gateway.java
+++ b/src/main/java/trestleline/core/Gateway.java
@@ -617,7 +617,8 @@
                 nowMs - request.decidedAtMs,
                 () -> isPaid(attempt) ? attemptJournal.checkIntent(attempt) : MediaHosts.WriteDecision.WRITE));
         if (decision == MediaHosts.WriteDecision.DROP) droppedBeforeWriteCount++;
-        if (decision == MediaHosts.WriteDecision.WRITE) request.writtenAtMs = nowMs;
+        if (decision == MediaHosts.WriteDecision.WRITE)
+            request.writtenAtMs = clock.getAsDouble(); // the check took its time
         if (decision == MediaHosts.WriteDecision.WRITE && isPaid(attempt)) attemptJournal.recordWritten(attempt);
         return decision;
     }
--- a/src/test/java/trestleline/core/GatewayTest.java
+++ b/src/test/java/trestleline/core/GatewayTest.java
@@ -425,4 +425,47 @@
         assertEquals(0, tested[0].counts().playing());
         assertFalse(events.stream().anyMatch(Placement.SessionResumed.class::isInstance), events.toString());
     }
+
+    /** Guards against a check before the write whose own duration counts as waiting for the host. */
+    @Test
+    void waitedTimeBeginsWhenTheCheckBeforeTheWriteIsOver() {
+        double checkMs = 40;
+        double answerMs = 30;
+        var hosts = new Simulation(8) {
+            @Override
+            public PendingSetUp setUp(Attempt attempt, SetUpListener callback) {
+                callback.beforeWrite();
+                schedule(answerMs, () -> callback.sessionStarted(Map.of()));
+                return () -> {};
+            }
+        };
+        List<Placement.SessionStarted> started = new ArrayList<>();
+        DecisionModule module = (now, event) -> {
+            if (event instanceof Placement.SessionStarted start) started.add(start);
+            return event instanceof Placement.NewRequest request
+                    ? List.of(new Placement.StartAttempt(request.ask().req(), "h0", 0))
+                    : List.of();
+        };
+        PreWriteCheck slowCheck = facts -> {
+            hosts.nowMs += checkMs;
+            return MediaHosts.WriteDecision.WRITE;
+        };
+        var gateway = new Gateway(
+                hosts.settings,
+                module,
+                slowCheck,
+                "g",
+                0,
+                () -> hosts.nowMs,
+                hosts::schedule,
+                hosts,
+                hosts,
+                AttemptJournal.NONE);
+        gateway.request(
+                new Placement.SessionRequest(0, "safe", "", 1, 5, 0, Double.NaN, 0, HOST_COUNT, 2, 0),
+                new RecordingViewer(hosts, Double.POSITIVE_INFINITY));
+        hosts.advanceTo(hosts.nowMs + 1000);
+        assertEquals(1, started.size());
+        assertEquals(answerMs, started.get(0).elapsed(), 1);
+    }
 }
