Connections are accepted only while there is room for them

Change: AcceptControl counts at the accept and stops there while eight more than allowed are open. A connection younger than 50 ms is not closed for another, so that its first message is read.

--- a/src/main/java/trestleline/signaling/SignalingServer.java
+++ b/src/main/java/trestleline/signaling/SignalingServer.java
@@ -45,6 +45,12 @@
     private static final double SILENCE_TIMEOUT_MS = 2000;
 
     private static final int SWEEP_INTERVAL_MS = 250;
+    /** Time (ms) that a new connection has to say something before it may be closed for another one. */
+    private static final double MIN_IDLE_MS = 50;
+    /** Connections beyond the limit that are open while idle ones get this time. */
+    private static final int EXTRA_CONNECTIONS = 8;
+    /** Interval (ms) at which connections beyond the limit are looked at. */
+    private static final int ROOM_INTERVAL_MS = 10;
     /** Set-ups of one connection that are passed to the core per turn. */
     private static final int SET_UPS_PER_TURN = 16;
     /** Unprocessed bytes of one connection from which on nothing more is read from it: a whole message. */
@@ -102,6 +108,8 @@
     private final ReadyConnections<Connection> readyConnections;
     private boolean passScheduled;
 
+    private final AcceptControl acceptControl;
+    private boolean roomTimerSet;
     private boolean draining;
     private long rejectedConnections;
     private long unreadableStreams;
@@ -136,6 +144,7 @@
         this.maxConnections = maxConnections;
         this.maxPendingSetUps = maxPendingSetUps;
         this.clock = clock;
+        acceptControl = new AcceptControl(maxConnections + EXTRA_CONNECTIONS);
         stallGuard = new StallGuard(SWEEP_INTERVAL_MS, clock.getAsDouble());
         setUpReader = new SetUpReader(settings);
         takenOverSessions = new TakenOverSessions<>(TAKEN_OVER_PER_SLOT
@@ -242,7 +251,8 @@
     }
 
     private void onConnect(NetSocket socket) {
-        if (connections.size() >= maxConnections && !closeIdlestConnection()) {
+        acceptControl.install(socket);
+        if (connections.size() >= maxConnections && !makeRoom()) {
             rejectedConnections++;
             socket.close();
             return;
@@ -256,10 +266,49 @@
     }
 
     /**
-     * Closes the connection that has been inactive longest and has no request, session or queued message. Returns
-     * whether there was one.
+     * Makes room for a connection beyond the limit: closes the one that has been inactive longest and has no request,
+     * session or unprocessed message. One that was opened just now gets the time to say something first; until then the
+     * limit is exceeded by a few. Returns whether there is room.
      */
-    private boolean closeIdlestConnection() {
+    private boolean makeRoom() {
+        Connection idlest = idlestConnection();
+        if (idlest == null) return false;
+        if (clock.getAsDouble() - idlest.lastActiveAt >= MIN_IDLE_MS) {
+            closeIdle(idlest);
+            return true;
+        }
+        if (connections.size() >= maxConnections + EXTRA_CONNECTIONS) return false;
+        if (!roomTimerSet) {
+            roomTimerSet = true;
+            vertx.setTimer(ROOM_INTERVAL_MS, timer -> closeExtraConnections());
+        }
+        return true;
+    }
+
+    /** Closes connections that have been idle for long enough until the limit is kept, now or a little later. */
+    private void closeExtraConnections() {
+        roomTimerSet = false;
+        double now = clock.getAsDouble();
+        while (connections.size() > maxConnections) {
+            Connection idlest = idlestConnection();
+            if (idlest == null) return;
+            if (now - idlest.lastActiveAt < MIN_IDLE_MS) {
+                roomTimerSet = true;
+                vertx.setTimer(ROOM_INTERVAL_MS, timer -> closeExtraConnections());
+                return;
+            }
+            closeIdle(idlest);
+        }
+    }
+
+    private void closeIdle(Connection connection) {
+        rejectedConnections++;
+        connection.close();
+        onClosed(connection);
+    }
+
+    /** The idle connection that has been inactive longest, or null. */
+    private Connection idlestConnection() {
         Connection idlest = null;
         for (Connection connection : connections) {
             if (!connection.pendingIds.isEmpty()
@@ -268,11 +317,7 @@
                     || connection.hasUnprocessed()) continue;
             if (idlest == null || connection.lastActiveAt < idlest.lastActiveAt) idlest = connection;
         }
-        if (idlest == null) return false;
-        rejectedConnections++;
-        idlest.close();
-        onClosed(idlest);
-        return true;
+        return idlest;
     }
 
     /** Closes silent connections and drops expired undelivered messages and early releases. */
--- a/src/test/java/trestleline/platform/GatewayProcess.java
+++ b/src/test/java/trestleline/platform/GatewayProcess.java
@@ -18,12 +18,17 @@
 
     /** Starts the program in a folder with a configuration, whose address for viewers is replaced, and waits for it. */
     GatewayProcess(Path dir, ObjectNode config) throws Exception {
+        this(dir, config, "");
+    }
+
+    /** Starts the program in a shell that runs {@code before} first, such as {@code ulimit -n 256;}. */
+    GatewayProcess(Path dir, ObjectNode config, String before) throws Exception {
         this.dir = dir;
         port = freePort();
         Path file = Files.writeString(
                 dir.resolve("config.json"),
                 config.put("listen", "127.0.0.1:" + port).toString());
-        process = start(dir, file, runCommand());
+        process = start(dir, file, before + runCommand());
         GatewayFixture.waitUntil(
                 "it listens: " + text("err"), () -> text("out").contains("listening 127.0.0.1:" + port));
     }
--- a/src/test/java/trestleline/platform/HostileClientsIT.java
+++ b/src/test/java/trestleline/platform/HostileClientsIT.java
@@ -1,11 +1,15 @@
 package trestleline.platform;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -60,7 +64,7 @@
         }
         fixture.initialEvents.add(GatewayFixture.feedEvent(1, true, entries));
         fixture.feed.sentEvents().add(fixture.initialEvents.get(0));
-        gateway = new GatewayProcess(dir, fixture.config(SOCKETS));
+        gateway = new GatewayProcess(dir, fixture.config(SOCKETS), "ulimit -n " + SOCKETS + "; ");
     }
 
     @AfterEach
@@ -302,7 +306,7 @@
             String host = ";at:h" + client % HOSTS;
             new Flood().sendWithoutEnd(() -> {
                 byte[] message = setUp("free", host, GatewayFixture.OFFER_DESCRIPTION);
-                long id = java.nio.ByteBuffer.wrap(message).getLong(3);
+                long id = ByteBuffer.wrap(message).getLong(3);
                 var both = new ByteArrayOutputStream();
                 both.writeBytes(message);
                 both.writeBytes(new MessageBuilder(12, id).with(17, "\20").bytes());
@@ -311,4 +315,68 @@
         }
         assertUsualViewersAreAnswered(8000);
     }
+
+    /**
+     * Guards against connections that are accepted until the process has no descriptor left, so that nobody's is for a
+     * second: usual viewers come on connections of their own here.
+     */
+    @Test
+    void silentClientsByTheHundredDoNotKeepOthersOut() throws Exception {
+        List<SocketChannel> silent = new ArrayList<>();
+        List<Viewer> usual = new ArrayList<>();
+        List<Long> askedAt = new ArrayList<>();
+        for (int second = 0; second < 6; second++) {
+            connectSilently(300, silent);
+            for (int i = 0; i < 4; i++) {
+                var viewer = new Viewer(gateway.port);
+                askedAt.add(System.nanoTime());
+                ask(viewer, askedAt.size());
+                usual.add(viewer);
+                closeEnded(silent);
+                Thread.sleep(250);
+            }
+        }
+        for (SocketChannel channel : silent) channel.close();
+        int answered = 0;
+        int excused = 0; // closed before anything was sent
+        for (int i = 0; i < usual.size(); i++) {
+            Viewer viewer = usual.get(i);
+            long leftMs = PATIENCE_MS + LOST_AFTER_MS - millisSince(askedAt.get(i));
+            var message = viewer.messages.poll(Math.max(0, leftMs), TimeUnit.MILLISECONDS);
+            if (message != null) answered++;
+            else if (viewer.closed) excused++;
+            viewer.close();
+        }
+        System.out.println("usual viewers " + usual.size() + ", answered " + answered + ", excused " + excused);
+        assertTrue(gateway.isAlive(), gateway.describe());
+        assertEquals(usual.size(), answered + excused, answered + " answered, " + excused + " excused");
+        assertTrue(answered > 0);
+    }
+
+    /** Connects at once, without waiting for any of the connections. */
+    private void connectSilently(int count, List<SocketChannel> channels) throws IOException {
+        var address = new InetSocketAddress("127.0.0.1", gateway.port);
+        for (int i = 0; i < count; i++) {
+            SocketChannel channel = SocketChannel.open();
+            channel.configureBlocking(false);
+            channel.connect(address);
+            channels.add(channel);
+        }
+    }
+
+    /** Closes the connections that the gateway has closed. */
+    private static void closeEnded(List<SocketChannel> channels) throws IOException {
+        var buffer = ByteBuffer.allocate(64);
+        for (SocketChannel channel : List.copyOf(channels)) {
+            boolean ended;
+            try {
+                ended = channel.finishConnect() && channel.read(buffer) < 0;
+            } catch (IOException e) {
+                ended = true;
+            }
+            if (!ended) continue;
+            channel.close();
+            channels.remove(channel);
+        }
+    }
 }
