A connection is not closed as idle right after its session has ended

Change: the end of a request or session counts as activity. Also a test that replies nobody reads fill no memory.

--- a/src/main/java/trestleline/signaling/SignalingServer.java
+++ b/src/main/java/trestleline/signaling/SignalingServer.java
@@ -211,7 +211,10 @@
         final Set<Long> pendingIds = new HashSet<>();
         /** Playing sessions whose set-up came on this connection. */
         int playingSessions;
-        /** Clock reading (ms) of the last valid set-up, matching release or test; initially of the connect. */
+        /**
+         * Clock reading (ms) of the last valid set-up, matching release or test, or of the end of a request or session;
+         * initially of the connect.
+         */
         double lastActiveAt = clock.getAsDouble();
         /** Clock reading (ms) when the incomplete message in the buffer began; infinite if there is none. */
         double incompleteSince = Double.POSITIVE_INFINITY;
@@ -695,6 +698,7 @@
 
         void remove() {
             activeRequests.remove(id, this);
+            connection.lastActiveAt = clock.getAsDouble(); // its viewer's next message is on its way
             if (takenOverAt != null) takenOverSessions.remove(takenOverAt, connection, this);
             if (session == null) removePending();
             else connection.playingSessions--;
--- a/src/test/java/trestleline/platform/HostileClientsIT.java
+++ b/src/test/java/trestleline/platform/HostileClientsIT.java
@@ -80,7 +80,12 @@
         volatile boolean closed;
 
         Flood() throws IOException {
+            this(true);
+        }
+
+        Flood(boolean reads) throws IOException {
             floods.add(this);
+            if (!reads) return;
             start(() -> {
                 byte[] buffer = new byte[1 << 16];
                 while (socket.getInputStream().read(buffer) >= 0) {
@@ -274,6 +279,15 @@
         assertUsualViewersAreAnswered(5000);
     }
 
+    /** Guards against replies that are kept for very many clients that don't read them. */
+    @Test
+    void repliesThatNobodyReadsDoNotFillTheMemory() throws Exception {
+        byte[] tests =
+                repeat(1000, () -> new MessageBuilder(52, 1).with(17, "\0").bytes());
+        for (int client = 0; client < 110; client++) new Flood(false).sendWithoutEnd(() -> tests);
+        assertUsualViewersAreAnswered(6000);
+    }
+
     /** Guards against clients that keep the event loop from others with set-ups that can't be used. */
     @Test
     void unsoundSetUpsAtFullSpeedDoNotDelayOthers() throws Exception {
--- a/src/test/java/trestleline/platform/RaceConditionsTest.java
+++ b/src/test/java/trestleline/platform/RaceConditionsTest.java
@@ -181,6 +181,26 @@
         }
     }
 
+    /**
+     * Guards against a connection that is closed as idle right after the release of its session, over the set-up that
+     * the viewer sends next.
+     */
+    @Test
+    void connectionStaysOpenAfterItsSessionHasEnded() throws Exception {
+        Host[] hosts = new Host[1];
+        try (var stage = startStage(hosts, GatewayFixture.ACCEPT_SET_UPS)) {
+            Viewer viewer = stage.viewer();
+            viewer.setUp(1, "free");
+            assertEquals(ANSWER, viewer.nextMessage().type());
+            Thread.sleep(2200); // longer than a connection with nothing on it may be silent
+            hosts[0].connections.get(0).sendTeardown(GatewayFixture.toHex(1), 16);
+            assertEquals(RELEASE, viewer.nextMessage().type());
+            Thread.sleep(500); // longer than the time between two looks at silent connections
+            viewer.setUp(2, "free");
+            assertEquals(ANSWER, viewer.nextMessage().type());
+        }
+    }
+
     @Test
     void queuedSetUpsAreDroppedWhenReleasedAndOthersProceed() throws Exception {
         Host[] hosts = new Host[1];
