Small classes out of the signalling server and the host client

Need: both files are long, and hold data and encodings that have no part in their sockets. Change: UndeliveredMessages and EarlyReleases hold what the server kept in maps of its own; rtsp.OutgoingMessages encodes what the client sends.

--- a/src/main/java/trestleline/rtsp/RtspHostClient.java
+++ b/src/main/java/trestleline/rtsp/RtspHostClient.java
@@ -39,7 +39,7 @@
  */
 public final class RtspHostClient implements MediaHosts {
     private static final Logger LOG = LoggerFactory.getLogger(RtspHostClient.class);
-    private static final byte[] EMPTY_BODY = new byte[0];
+    private static final byte[] NO_DESCRIPTION = new byte[0];
     /**
      * Time (ms) for which the sockets are read on before an answer that nothing has followed counts as whole: the rest
      * of a body with a wrong length is on its way behind it.
@@ -285,28 +285,6 @@
             else socket.close();
             closed(this);
         }
-
-        /** Sends a teardown for an attempt that was given up (no reason), or for a session that is released. */
-        void tearDown(String sessionId, String reason) {
-            send(
-                    reason == null
-                            ? RtspMessage.encode(
-                                    "TEARDOWN rtsp://media/" + sessionId + " RTSP/1.0",
-                                    EMPTY_BODY,
-                                    "CSeq",
-                                    "2",
-                                    "Session",
-                                    sessionId)
-                            : RtspMessage.encode(
-                                    "TEARDOWN rtsp://media/" + sessionId + " RTSP/1.0",
-                                    EMPTY_BODY,
-                                    "CSeq",
-                                    "2",
-                                    "Session",
-                                    sessionId,
-                                    "Reason",
-                                    reason));
-        }
     }
 
     /** Logs all bytes sent or received, at trace level. */
@@ -614,10 +592,7 @@
                             },
                             request.gauges());
                 }
-                if (sessionId != null) {
-                    connection.send(
-                            RtspMessage.encode("RTSP/1.0 200 OK", EMPTY_BODY, "CSeq", "2", "Session", sessionId));
-                }
+                if (sessionId != null) connection.send(OutgoingMessages.teardownConfirmation(sessionId));
             }
             case "ANNOUNCE" -> {
                 int kind =
@@ -656,7 +631,7 @@
         private Endpoint endpoint;
         private Connection connection;
         private Map<String, Double> load = Map.of();
-        private byte[] description = EMPTY_BODY;
+        private byte[] description = NO_DESCRIPTION;
 
         SetUp(Attempt attempt, SetUpListener listener) {
             super(vertx, attempt, listener);
@@ -771,19 +746,13 @@
         @Override
         protected void writeSetUp() {
             long remainingMs = (long) Math.max(1, attempt.expiresAt() - clock.getAsDouble());
-            connection.send(RtspMessage.encode(
-                    "SETUP rtsp://media/" + attempt.payload().title() + " RTSP/1.0",
-                    attempt.payload().description(),
-                    "CSeq",
-                    "1",
-                    "Session",
+            connection.send(OutgoingMessages.setUp(
                     sessionId,
-                    "X-Tier",
+                    attempt.payload().title(),
                     attempt.requestClass().name(),
-                    "X-Deadline",
-                    Long.toString(remainingMs),
-                    "P-Level",
-                    Integer.toString(attempt.rung())));
+                    remainingMs,
+                    attempt.rung(),
+                    attempt.payload().description()));
         }
 
         /** Tears the session down by its id, on the connection of the set-up if it is open, else on another. */
@@ -792,12 +761,12 @@
             if (connection != null && !connection.closed && connection.inbound.failure() == null) {
                 Connection target = connection;
                 target.unconfirmedTeardowns.put(sessionId, clock.getAsDouble());
-                target.tearDown(sessionId, null);
+                target.send(OutgoingMessages.giveUp(sessionId));
                 return;
             }
             if (endpoint == null || !endpoint.liveness.isListed()) return;
             withConnection(endpoint, target -> {
-                if (target != null) target.tearDown(sessionId, null);
+                if (target != null) target.send(OutgoingMessages.giveUp(sessionId));
             });
         }
     }
@@ -829,17 +798,7 @@
         HostSession session = sessions.get(attempt.payload().session());
         if (session == null || session.attempt != attempt) return;
         String sessionId = attempt.payload().session();
-        sendOneWay(
-                session.endpoint,
-                connection -> connection.send(RtspMessage.encode(
-                        "SET_PARAMETER rtsp://media/" + sessionId + " RTSP/1.0",
-                        EMPTY_BODY,
-                        "CSeq",
-                        "4",
-                        "Session",
-                        sessionId,
-                        "P-Level",
-                        Integer.toString(rung))));
+        sendOneWay(session.endpoint, connection -> connection.send(OutgoingMessages.newRung(sessionId, rung)));
     }
 
     @Override
@@ -849,7 +808,8 @@
         removeSession(session);
         sendOneWay(
                 session.endpoint,
-                connection -> connection.tearDown(attempt.payload().session(), "cause=31"));
+                connection -> connection.send(
+                        OutgoingMessages.release(attempt.payload().session())));
     }
 
     /**
@@ -911,8 +871,7 @@
             }
             used[0] = connection;
             connection.probe = probe;
-            connection.send(RtspMessage.encode(
-                    "OPTIONS rtsp://media/load RTSP/1.0", EMPTY_BODY, "CSeq", "3", "Session", "0000000000000000"));
+            connection.send(OutgoingMessages.loadProbe());
         });
     }
 
--- a/src/main/java/trestleline/signaling/SignalingServer.java
+++ b/src/main/java/trestleline/signaling/SignalingServer.java
@@ -8,7 +8,6 @@
 import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.NetSocket;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashSet;
@@ -67,14 +66,6 @@
      * have ended without this gateway's knowledge.
      */
     private static final int TAKEN_OVER_PER_SLOT = 4;
-    /** Messages kept for viewers that have no connection; the oldest are dropped beyond this. */
-    private static final int MAX_UNDELIVERED_MESSAGES = 1024;
-    /** How long a message for a viewer without a connection is kept. */
-    private static final int UNDELIVERED_RETENTION_MS = 8000;
-    /** Releases remembered because they arrived before their set-up, which came on another connection. */
-    private static final int MAX_EARLY_RELEASES = 256;
-    /** How long an early release is remembered. */
-    private static final double EARLY_RELEASE_RETENTION_MS = 1000;
     /** Moved viewers remembered until they send their next set-up. */
     private static final int MAX_MOVED_VIEWERS = 256;
     /** Bit in a request's marks for a viewer whose previous session was moved. */
@@ -90,16 +81,16 @@
     private final Set<Connection> connections = new LinkedHashSet<>();
     /** Pending requests and playing sessions by id, oldest first. */
     private final Map<Long, ActiveRequest> activeRequests = new LinkedHashMap<>();
-    /** Messages for viewers without a connection, oldest first. */
-    private final ArrayDeque<UndeliveredMessage> undelivered = new ArrayDeque<>();
+
+    private final UndeliveredMessages undelivered = new UndeliveredMessages();
     /** Keys of viewers whose session was moved and that have not sent a new set-up yet. */
     private final Set<Long> movedViewers = new LinkedHashSet<>();
 
     private final TakenOverSessions<Connection, ActiveRequest> takenOverSessions;
     /** Requests that are over and may have run at a host: none runs a second time under its id. */
     private final RecentIds endedIds = new RecentIds();
-    /** By id, releases for which no set-up has been processed yet. */
-    private final Map<Long, EarlyRelease> earlyReleases = new LinkedHashMap<>();
+
+    private final EarlyReleases<Connection> earlyReleases = new EarlyReleases<>();
 
     private final StallGuard stallGuard;
     private NetServer server;
@@ -115,12 +106,6 @@
     private long unreadableStreams;
     private long invalidSetUps;
 
-    /** A message and the clock reading (ms) until which it is kept. */
-    private record UndeliveredMessage(byte[] bytes, double expiresAt) {}
-
-    /** The connection that a release came on and the clock reading (ms) until which it is remembered. */
-    private record EarlyRelease(Connection connection, double expiresAt) {}
-
     /**
      * Creates the server; {@link #start} makes it listen.
      *
@@ -327,8 +312,8 @@
     private void sweep() {
         double now = clock.getAsDouble();
         if (stallGuard.mayJudge(now)) closeSilentConnections(now);
-        while (!undelivered.isEmpty() && undelivered.peekFirst().expiresAt < now) undelivered.removeFirst();
-        earlyReleases.values().removeIf(release -> release.expiresAt < now);
+        undelivered.expire(now);
+        earlyReleases.expire(now);
     }
 
     private void closeSilentConnections(double now) {
@@ -538,7 +523,7 @@
     /** Passes a set-up from the queue to the core, unless its viewer has left or a limit is reached. */
     private void passToCore(Connection connection, SetUpQueue.QueuedSetUp queued) {
         long id = queued.id();
-        boolean hasLeft = consumeEarlyRelease(connection, id); // then no answer is expected
+        boolean hasLeft = earlyReleases.consume(id, connection, clock.getAsDouble()); // then no answer is expected
         boolean isOpen = !hasLeft && activeRequests.containsKey(id); // the viewer could not tell the two answers apart
         boolean mayHaveRun = !hasLeft && !isOpen && endedIds.contains(id, clock.getAsDouble());
         boolean isOverLimit = draining
@@ -622,7 +607,8 @@
         request.session = gateway.resumeSession(
                 new OpenSession(setUp.request(), host, payload.session(), OpenSession.UNKNOWN_RUNG, payload), request);
         if (surplus != null) gateway.endSession(surplus.session, EndReason.SHUTDOWN);
-        if (consumeEarlyRelease(connection, id) && activeRequests.get(id) == request) end(request);
+        if (earlyReleases.consume(id, connection, clock.getAsDouble()) && activeRequests.get(id) == request)
+            end(request);
     }
 
     /** Cancels a pending set-up or ends a playing session for its viewer. The release may come on any connection. */
@@ -635,11 +621,7 @@
         }
         ActiveRequest request = activeRequests.get(message.session());
         if (request == null) {
-            // connections are read in any order: the set-up may still be unread on another one
-            earlyReleases.put(
-                    message.session(), new EarlyRelease(connection, clock.getAsDouble() + EARLY_RELEASE_RETENTION_MS));
-            if (earlyReleases.size() > MAX_EARLY_RELEASES)
-                earlyReleases.remove(earlyReleases.keySet().iterator().next());
+            earlyReleases.add(message.session(), connection, clock.getAsDouble());
             return;
         }
         connection.lastActiveAt = clock.getAsDouble();
@@ -657,15 +639,6 @@
         gateway.endSession(session, EndReason.VIEWER_GONE);
     }
 
-    /**
-     * Removes the early release of an id. Returns whether it applies: it has not expired and came on a connection other
-     * than that of the set-up, as messages of one connection are in order.
-     */
-    private boolean consumeEarlyRelease(Connection connection, long id) {
-        EarlyRelease release = earlyReleases.remove(id);
-        return release != null && release.connection != connection && release.expiresAt > clock.getAsDouble();
-    }
-
     private void cancel(ActiveRequest request) {
         if (request == null) return;
         request.remove();
@@ -767,13 +740,12 @@
             other.send(message);
             return;
         }
-        undelivered.addLast(new UndeliveredMessage(message, clock.getAsDouble() + UNDELIVERED_RETENTION_MS));
-        if (undelivered.size() > MAX_UNDELIVERED_MESSAGES) undelivered.removeFirst();
+        undelivered.add(message, clock.getAsDouble());
     }
 
     private void sendUndelivered(Connection connection) {
-        for (UndeliveredMessage message = undelivered.pollFirst(); message != null; message = undelivered.pollFirst())
-            connection.send(message.bytes());
+        for (byte[] message = undelivered.poll(); message != null; message = undelivered.poll())
+            connection.send(message);
     }
 
     /** Closes all connections once their pending writes are flushed, and then stops listening. */
--- a/src/test/java/trestleline/core/GatewayTest.java
+++ b/src/test/java/trestleline/core/GatewayTest.java
@@ -393,6 +393,21 @@
         assertEquals(0, simulation.gateway.counts().playing());
     }
 
+    /** A gateway among the hosts of a simulation, with a decision module and a check of its own. */
+    private static Gateway gatewayWith(Simulation hosts, DecisionModule module, PreWriteCheck check) {
+        return new Gateway(
+                hosts.settings,
+                module,
+                check,
+                "g",
+                0,
+                () -> hosts.nowMs,
+                hosts::schedule,
+                hosts,
+                hosts,
+                AttemptJournal.NONE);
+    }
+
     /** Guards against a session that has ended while it was taken over, and that the module then counts for good. */
     @Test
     void sessionThatEndsWhileItIsTakenOverIsNotPassedToTheModule() {
@@ -408,17 +423,7 @@
             events.add(event);
             return List.of();
         };
-        tested[0] = new Gateway(
-                hosts.settings,
-                module,
-                PreWriteCheck.DEFAULT,
-                "g",
-                0,
-                () -> hosts.nowMs,
-                hosts::schedule,
-                hosts,
-                hosts,
-                AttemptJournal.NONE);
+        tested[0] = gatewayWith(hosts, module, PreWriteCheck.DEFAULT);
         var viewer = new RecordingViewer(hosts, Double.POSITIVE_INFINITY);
         var sessionRequest = new Placement.SessionRequest(77, "paid", "", 9, 5, 3000, Double.NaN, 0, HOST_COUNT, 2, 0);
         tested[0].resumeSession(new OpenSession(sessionRequest, "gone", "0-old-77-0", 2), viewer);
@@ -450,20 +455,10 @@
             hosts.nowMs += checkMs;
             return MediaHosts.WriteDecision.WRITE;
         };
-        var gateway = new Gateway(
-                hosts.settings,
-                module,
-                slowCheck,
-                "g",
-                0,
-                () -> hosts.nowMs,
-                hosts::schedule,
-                hosts,
-                hosts,
-                AttemptJournal.NONE);
-        gateway.request(
-                new Placement.SessionRequest(0, "safe", "", 1, 5, 0, Double.NaN, 0, HOST_COUNT, 2, 0),
-                new RecordingViewer(hosts, Double.POSITIVE_INFINITY));
+        gatewayWith(hosts, module, slowCheck)
+                .request(
+                        new Placement.SessionRequest(0, "safe", "", 1, 5, 0, Double.NaN, 0, HOST_COUNT, 2, 0),
+                        new RecordingViewer(hosts, Double.POSITIVE_INFINITY));
         hosts.advanceTo(hosts.nowMs + 1000);
         assertEquals(1, started.size());
         assertEquals(answerMs, started.get(0).elapsed(), 1);
