Every accepted connection is counted, and none turned away while one is idle

What was seen: PlatformEndToEndTest.idleConnectionFloodDoesNotBlockViewers failed once, "no message for the viewer"; 20 plays of it had not ended after 150 s. Cause: AcceptControl did not count connections accepted before the first one was handed over, and the server closed new ones where more than eight beyond the limit were open and the idle ones too young to be closed. Change: those are counted as they come; the server relies on the count and closes idle ones a little later.

--- a/src/main/java/trestleline/signaling/AcceptControl.java
+++ b/src/main/java/trestleline/signaling/AcceptControl.java
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.util.AttributeKey;
 import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetSocket;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -13,6 +14,7 @@
  * nothing for a second. Those that are not accepted yet wait in the backlog of the socket.
  */
 final class AcceptControl {
+    private static final AttributeKey<Boolean> COUNTED = AttributeKey.valueOf(AcceptControl.class, "counted");
     private final int maxOpen;
     private final AtomicInteger open = new AtomicInteger();
     private boolean installed;
@@ -23,36 +25,33 @@
     }
 
     /**
-     * Installs itself at the server that has accepted a connection, unless it is there already. Called for each
-     * connection on the event loop; only the few that were accepted before the first call are not counted.
+     * Must be called for each connection on the event loop. The first call installs this at the server that has
+     * accepted the connection; the few that were accepted before are counted as they come.
      */
-    void install(NetSocket socket) {
-        if (installed) return;
+    void opened(NetSocket socket) {
+        Channel channel = ((NetSocketInternal) socket).channelHandlerContext().channel();
+        Channel server = channel.parent();
+        if (!installed) server.pipeline().addFirst(new AcceptCounter());
         installed = true;
-        Channel server =
-                ((NetSocketInternal) socket).channelHandlerContext().channel().parent();
-        server.pipeline().addFirst(new AcceptCounter(server));
+        if (!channel.hasAttr(COUNTED)) count(server, channel);
+    }
+
+    private void count(Channel server, Channel accepted) {
+        accepted.attr(COUNTED).set(true);
+        accepted.closeFuture().addListener(closed -> {
+            if (open.decrementAndGet() < maxOpen) server.config().setAutoRead(true);
+        });
+        if (open.incrementAndGet() >= maxOpen) server.config().setAutoRead(false);
+        // closed meanwhile: whoever was last to look sees that there is room
+        if (open.get() < maxOpen) server.config().setAutoRead(true);
     }
 
     /** Counts what the server accepts; runs on the accepting thread. */
     private final class AcceptCounter extends ChannelInboundHandlerAdapter {
-        private final Channel server;
-
-        AcceptCounter(Channel server) {
-            this.server = server;
-        }
-
         @Override
         public void channelRead(ChannelHandlerContext context, Object accepted) {
-            ((Channel) accepted).closeFuture().addListener(closed -> onClosed());
-            if (open.incrementAndGet() >= maxOpen) server.config().setAutoRead(false);
-            // closed meanwhile: whoever was last to look sees that there is room
-            if (open.get() < maxOpen) server.config().setAutoRead(true);
+            count(context.channel(), (Channel) accepted);
             context.fireChannelRead(accepted);
         }
-
-        private void onClosed() {
-            if (open.decrementAndGet() < maxOpen) server.config().setAutoRead(true);
-        }
     }
 }
--- a/src/main/java/trestleline/signaling/SignalingServer.java
+++ b/src/main/java/trestleline/signaling/SignalingServer.java
@@ -239,7 +239,7 @@
     }
 
     private void onConnect(NetSocket socket) {
-        acceptControl.install(socket);
+        acceptControl.opened(socket);
         if (connections.size() >= maxConnections && !makeRoom()) {
             rejectedConnections++;
             socket.close();
@@ -265,7 +265,6 @@
             closeIdle(idlest);
             return true;
         }
-        if (connections.size() >= maxConnections + EXTRA_CONNECTIONS) return false;
         if (!roomTimerSet) {
             roomTimerSet = true;
             vertx.setTimer(ROOM_INTERVAL_MS, timer -> closeExtraConnections());
