Stalls from 100 ms on count, and each answer has its own 2 ms

Need, from reading the change once more: a check every 250 ms took a stall of up to 250 ms for none; the wait for the rest of one answer could end by the timer of an earlier one; without session slots in the settings four sessions handed over were the limit of a host. Change: a check that comes 100 ms later than its interval follows a stall, as for the core's queue; the timer looks at the message it was set for; without slots the total alone is the limit. Measured: the tests of the platform's paths, of the reader and of the guard pass.

--- a/src/main/java/trestleline/core/StallGuard.java
+++ b/src/main/java/trestleline/core/StallGuard.java
@@ -6,8 +6,8 @@
  * silent by the clock. Reads no clock.
  */
 public final class StallGuard {
-    /** A check that comes later than this many intervals after the one before it follows a stall. */
-    private static final double LATE_INTERVALS = 2;
+    /** A check that comes so much later (ms) than its interval follows a stall. */
+    private static final double LATE_MS = EventQueue.STALL_THRESHOLD_MS;
 
     private final double intervalMs;
     private double lastCheckAt;
@@ -30,7 +30,7 @@
      * that the second one proves nothing either.
      */
     public boolean mayJudge(double now) {
-        if (now - lastCheckAt > LATE_INTERVALS * intervalMs) stallSeenAt = now;
+        if (now - lastCheckAt > intervalMs + LATE_MS) stallSeenAt = now;
         lastCheckAt = now;
         return now - stallSeenAt >= intervalMs;
     }
--- a/src/main/java/trestleline/rtsp/InboundMessages.java
+++ b/src/main/java/trestleline/rtsp/InboundMessages.java
@@ -39,14 +39,14 @@
         held = null;
     }
 
-    /** Whether a message is held back to which nothing has followed, not even a part of another message. */
-    boolean isWaitingForMore() {
-        return held != null && !reader.hasPartialMessage();
+    /** Returns the message that is held back, if nothing has followed it, not even a part of another one; else null. */
+    RtspMessage last() {
+        return reader.hasPartialMessage() ? null : held;
     }
 
     /** Removes and returns the message that is held back, as nothing follows it; null if there is none. */
     RtspMessage takeLast() {
-        if (!isWaitingForMore()) return null;
+        if (last() == null) return null;
         RtspMessage last = held;
         held = null;
         return last;
--- a/src/main/java/trestleline/rtsp/RtspHostClient.java
+++ b/src/main/java/trestleline/rtsp/RtspHostClient.java
@@ -512,8 +512,11 @@
         for (RtspMessage message : connection.inbound.take()) onMessage(connection, message);
         if (connection.closed) return;
         if (connection.inbound.failure() != null) onProtocolError(connection, connection.inbound.failure());
-        else if (connection.inbound.isWaitingForMore())
-            vertx.setTimer(ANSWER_SETTLE_MS, timer -> processLast(connection));
+        RtspMessage last = connection.inbound.last();
+        if (last == null) return;
+        vertx.setTimer(ANSWER_SETTLE_MS, timer -> {
+            if (connection.inbound.last() == last) processLast(connection);
+        });
     }
 
     /** Processes the message that nothing has followed, if there is one. */
--- a/src/main/java/trestleline/signaling/SignalingServer.java
+++ b/src/main/java/trestleline/signaling/SignalingServer.java
@@ -132,8 +132,9 @@
         acceptControl = new AcceptControl(maxConnections + EXTRA_CONNECTIONS);
         stallGuard = new StallGuard(SWEEP_INTERVAL_MS, clock.getAsDouble());
         setUpReader = new SetUpReader(settings);
-        takenOverSessions = new TakenOverSessions<>(TAKEN_OVER_PER_SLOT
-                * Arrays.stream(settings.fleet().sessionSlots()).max().orElse(1));
+        int slots = Arrays.stream(settings.fleet().sessionSlots()).max().orElse(0);
+        takenOverSessions =
+                new TakenOverSessions<>(slots > 0 ? TAKEN_OVER_PER_SLOT * slots : TakenOverSessions.MAX_TOTAL);
         readyConnections = new ReadyConnections<>(clock, this::processTurn);
     }
 
--- a/src/test/java/trestleline/rtsp/RtspReaderTest.java
+++ b/src/test/java/trestleline/rtsp/RtspReaderTest.java
@@ -132,7 +132,7 @@
         assertEquals(1, inbound.take().size());
         inbound.add(bytes("RTSP/1.0 200 OK\r\nCSeq: 1\r\nContent-Length: 2\r\n\r\nab"));
         assertTrue(inbound.take().isEmpty());
-        assertTrue(inbound.isWaitingForMore());
+        assertNotNull(inbound.last());
         inbound.add(bytes("ANNOUNCE rtsp://media/x RTSP/1.0\r\n"));
         assertEquals(
                 List.of(200), inbound.take().stream().map(RtspMessage::status).toList());
