Room for connections is looked for as long as the limit is exceeded

What was seen: HostileClientsIT.messagesOfManyEmptyParametersDoNotFillTheHeap failed once in the whole script: "request 1 of 26 has no answer after 2550 ms". Change: they are looked at every 10 ms while the limit is exceeded; accepting is held back only while an idle one has its 50 ms, 250 ms at most, and new ones are turned away where none is idle.

--- a/src/main/java/trestleline/signaling/AcceptControl.java
+++ b/src/main/java/trestleline/signaling/AcceptControl.java
@@ -17,7 +17,9 @@
     private static final AttributeKey<Boolean> COUNTED = AttributeKey.valueOf(AcceptControl.class, "counted");
     private final int maxOpen;
     private final AtomicInteger open = new AtomicInteger();
-    private boolean installed;
+    private volatile boolean held;
+    /** The server that accepts; null until it has accepted a connection. Set on the event loop. */
+    private Channel server;
 
     /** @param maxOpen connections that may be open at once, rejected ones that are being closed among them */
     AcceptControl(int maxOpen) {
@@ -30,20 +32,40 @@
      */
     void opened(NetSocket socket) {
         Channel channel = ((NetSocketInternal) socket).channelHandlerContext().channel();
-        Channel server = channel.parent();
-        if (!installed) server.pipeline().addFirst(new AcceptCounter());
-        installed = true;
+        if (server == null) {
+            server = channel.parent();
+            server.pipeline().addFirst(new AcceptCounter());
+        }
         if (!channel.hasAttr(COUNTED)) count(server, channel);
     }
 
-    private void count(Channel server, Channel accepted) {
+    /** Holds back whatever is not accepted yet, or lets it come; to be called on the event loop. */
+    void hold(boolean hold) {
+        held = hold;
+        if (server != null) update(server);
+    }
+
+    private void count(Channel acceptingServer, Channel accepted) {
         accepted.attr(COUNTED).set(true);
+        open.incrementAndGet();
         accepted.closeFuture().addListener(closed -> {
-            if (open.decrementAndGet() < maxOpen) server.config().setAutoRead(true);
+            open.decrementAndGet();
+            update(acceptingServer);
         });
-        if (open.incrementAndGet() >= maxOpen) server.config().setAutoRead(false);
-        // closed meanwhile: whoever was last to look sees that there is room
-        if (open.get() < maxOpen) server.config().setAutoRead(true);
+        update(acceptingServer);
+    }
+
+    /** Both threads call this: whoever is last to set the state has looked at what the other one changed. */
+    private void update(Channel acceptingServer) {
+        boolean accepts;
+        do {
+            accepts = mayAccept();
+            acceptingServer.config().setAutoRead(accepts);
+        } while (accepts != mayAccept());
+    }
+
+    private boolean mayAccept() {
+        return !held && open.get() < maxOpen;
     }
 
     /** Counts what the server accepts; runs on the accepting thread. */
--- a/src/main/java/trestleline/signaling/SignalingServer.java
+++ b/src/main/java/trestleline/signaling/SignalingServer.java
@@ -46,8 +46,12 @@
     private static final int SWEEP_INTERVAL_MS = 250;
     /** Time (ms) that a new connection has to say something before it may be closed for another one. */
     private static final double MIN_IDLE_MS = 50;
-    /** Connections beyond the limit that are open while idle ones get this time. */
-    private static final int EXTRA_CONNECTIONS = 8;
+    /** How long (ms) new connections wait at most for idle ones to have had this time. */
+    private static final double MAX_ROOM_WAIT_MS = 250;
+    /**
+     * Connections beyond the limit that are open while idle ones get this time, and as many that are being rejected.
+     */
+    private static final int EXTRA_CONNECTIONS = 4;
     /** Interval (ms) at which connections beyond the limit are looked at. */
     private static final int ROOM_INTERVAL_MS = 10;
     /** Set-ups of one connection that are passed to the core per turn. */
@@ -100,7 +104,10 @@
     private boolean passScheduled;
 
     private final AcceptControl acceptControl;
-    private boolean roomTimerSet;
+    private boolean roomCheckScheduled;
+    /** Since when (ms) the limit of connections is exceeded; meaningful while a check is scheduled. */
+    private double overLimitSince;
+
     private boolean draining;
     private long rejectedConnections;
     private long unreadableStreams;
@@ -129,7 +136,7 @@
         this.maxConnections = maxConnections;
         this.maxPendingSetUps = maxPendingSetUps;
         this.clock = clock;
-        acceptControl = new AcceptControl(maxConnections + EXTRA_CONNECTIONS);
+        acceptControl = new AcceptControl(maxConnections + 2 * EXTRA_CONNECTIONS);
         stallGuard = new StallGuard(SWEEP_INTERVAL_MS, clock.getAsDouble());
         setUpReader = new SetUpReader(settings);
         int slots = Arrays.stream(settings.fleet().sessionSlots()).max().orElse(0);
@@ -257,36 +264,48 @@
     /**
      * Makes room for a connection beyond the limit: closes the one that has been inactive longest and has no request,
      * session or unprocessed message. One that was opened just now gets the time to say something first; until then the
-     * limit is exceeded by a few. Returns whether there is room.
+     * limit is exceeded by a few, and whoever comes next waits. Returns whether there is room.
      */
     private boolean makeRoom() {
         Connection idlest = idlestConnection();
         if (idlest == null) return false;
-        if (clock.getAsDouble() - idlest.lastActiveAt >= MIN_IDLE_MS) {
+        double now = clock.getAsDouble();
+        if (!roomCheckScheduled) overLimitSince = now;
+        if (mayCloseForAnother(idlest, now)) {
             closeIdle(idlest);
             return true;
         }
-        if (!roomTimerSet) {
-            roomTimerSet = true;
-            vertx.setTimer(ROOM_INTERVAL_MS, timer -> closeExtraConnections());
-        }
+        if (connections.size() >= maxConnections + EXTRA_CONNECTIONS) acceptControl.hold(true);
+        scheduleRoomCheck();
         return true;
     }
 
+    /** Whether an idle connection has had its time to say something, or others have waited for too long. */
+    private boolean mayCloseForAnother(Connection idle, double now) {
+        return now - idle.lastActiveAt >= MIN_IDLE_MS || now - overLimitSince >= MAX_ROOM_WAIT_MS;
+    }
+
+    private void scheduleRoomCheck() {
+        if (roomCheckScheduled) return;
+        roomCheckScheduled = true;
+        vertx.setTimer(ROOM_INTERVAL_MS, timer -> {
+            roomCheckScheduled = false;
+            closeExtraConnections();
+        });
+    }
+
     /** Closes connections that have been idle for long enough until the limit is kept, now or a little later. */
     private void closeExtraConnections() {
-        roomTimerSet = false;
         double now = clock.getAsDouble();
-        while (connections.size() > maxConnections) {
-            Connection idlest = idlestConnection();
-            if (idlest == null) return;
-            if (now - idlest.lastActiveAt < MIN_IDLE_MS) {
-                roomTimerSet = true;
-                vertx.setTimer(ROOM_INTERVAL_MS, timer -> closeExtraConnections());
-                return;
-            }
+        Connection idlest = idlestConnection();
+        while (connections.size() > maxConnections && idlest != null && mayCloseForAnother(idlest, now)) {
             closeIdle(idlest);
+            idlest = idlestConnection();
         }
+        boolean isOverLimit = connections.size() > maxConnections;
+        // where none will become idle soon, new ones are turned away instead of kept waiting
+        if (!isOverLimit || idlest == null || now - overLimitSince >= MAX_ROOM_WAIT_MS) acceptControl.hold(false);
+        if (isOverLimit) scheduleRoomCheck();
     }
 
     private void closeIdle(Connection connection) {
